--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,299 @@
+//! The settings object that a deployment is described by, as both the simulator's adapter and the real scheduler
+//! read it: translated into [`oatdock::Settings`], with the names that stand behind the module's numbers.
+#![allow(missing_docs, reason = "the fields are documented on the operators' page, under the same names")]
+use oatdock as od;
+use serde::Deserialize;
+
+/// A deployment's settings, checked and translated.
+pub struct Deployment {
+    pub settings: od::Settings,
+    pub names: Names,
+    pub reports: Reports,
+}
+
+/// The names behind the module's positions.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// The place of `name` among `names`: how the module numbers classes, tenants, zones and kinds.
+pub fn position(names: &[String], name: &str) -> Option<u32> {
+    names.iter().position(|n| n == name).map(|i| i as u32)
+}
+
+/// What the unnamed values of a load report mean here.
+#[derive(Clone, Copy, Debug)]
+pub struct Reports {
+    free_slots: bool,
+    free_memory: bool,
+}
+
+impl Reports {
+    /// A report as the module takes it.
+    pub fn report(self, f: Figures) -> od::Report {
+        od::Report {
+            free_slots: f.x0.filter(|_| self.free_slots),
+            free_memory: f.x1.filter(|_| self.free_memory),
+            utilization: f.utilization,
+            outstanding: f.outstanding,
+            backlog: f.backlog,
+            latency_ms: f.recent_ms,
+            errors_per_s: f.errors_per_s,
+        }
+    }
+}
+
+/// A load report's figures. On sockets most have a shorter name than in the simulator.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default)]
+pub struct Figures {
+    #[serde(alias = "util")]
+    pub utilization: Option<f64>,
+    #[serde(alias = "eps")]
+    pub errors_per_s: Option<f64>,
+    #[serde(alias = "inflight")]
+    pub outstanding: Option<f64>,
+    #[serde(alias = "queue")]
+    pub backlog: Option<f64>,
+    #[serde(alias = "latency_ms")]
+    pub recent_ms: Option<f64>,
+    #[serde(alias = "qps")]
+    pub throughput: Option<f64>,
+    pub x0: Option<f64>,
+    pub x1: Option<f64>,
+}
+
+impl Deployment {
+    /// Translates the settings object.
+    ///
+    /// # Errors
+    /// If a field holds what no deployment can mean; the text names the field.
+    pub fn read(options: Options) -> Result<Self, String> {
+        let settings = translate(&options)?;
+        let reports = Reports {
+            free_slots: options.family_info.report_x0.as_deref() == Some("free slots"),
+            free_memory: options.family_info.report_x1.as_deref() == Some("free memory"),
+        };
+        let names = Names {
+            classes: options.grades.into_iter().map(|g| g.name).collect(),
+            tenants: options.tenants.into_iter().map(|t| t.name).collect(),
+            zones: options.azs,
+            kinds: options.kinds,
+        };
+        Ok(Deployment { settings, names, reports })
+    }
+}
+
+fn translate(o: &Options) -> Result<od::Settings, String> {
+    let info = &o.family_info;
+    let by_priority = info.queue_order.as_deref() == Some("priority");
+    let mut classes = Vec::with_capacity(o.grades.len());
+    for (i, g) in o.grades.iter().enumerate() {
+        let effect = match g.effect.as_str() {
+            "idempotent" => od::Effect::Safe,
+            "at_most_once" => od::Effect::Unsafe,
+            "deduplicated" => od::Effect::Keyed {
+                scope: match g.dedup_scope.as_deref() {
+                    Some("all") | None => od::Scope::All,
+                    Some("zone") => od::Scope::Zone,
+                    Some("cell") => od::Scope::Cell,
+                    Some(other) => {
+                        return Err(format!("field grades[{i}].dedupScope: unknown scope `{other}`"));
+                    }
+                },
+                ttl: g.key_ttl.unwrap_or(0),
+            },
+            other => return Err(format!("field grades[{i}].effect: unknown effect `{other}`")),
+        };
+        classes.push(od::Class {
+            aim: g.aim,
+            stretch: g.aim_stretch.or(info.class_stretch.get(i).copied()).unwrap_or(0.0),
+            deadline: g.deadline,
+            worth: g.value.unwrap_or(1.0),
+            late_share: g.late_share.unwrap_or(0.0),
+            effect,
+            streaming: g.streaming,
+            kind: info.class_kind.get(i).and_then(|k| u32::try_from(*k).ok()),
+            priority: info.class_priority.get(i).copied().filter(|_| by_priority).unwrap_or(0),
+        });
+    }
+    let must_ask = match o.discovery.as_deref() {
+        Some("automatic") | None => false,
+        Some("subscribe") => true,
+        Some(other) => return Err(format!("field discovery: unknown mode `{other}`")),
+    };
+    let reports = match o.report.via.as_deref() {
+        Some("answers") => od::ReportVia::Answers,
+        Some("probe") => od::ReportVia::Probe,
+        Some("none") | None => od::ReportVia::None,
+        Some(other) => return Err(format!("field report.via: unknown value `{other}`")),
+    };
+    let (l, p, r) = (&o.limits, &o.prices, &o.rules);
+    Ok(od::Settings {
+        me: o.me,
+        instances: o.n_instances.unwrap_or(1),
+        zone: o.az,
+        kinds: o.kinds.len() as u32,
+        tick: o.round.unwrap_or(1_000_000),
+        classes,
+        tenants: o.tenants.iter().map(|t| od::Tenant { quota_per_s: t.quota_per_s.unwrap_or(0.0) }).collect(),
+        over_share_worth: o.over_share_worth.unwrap_or(1.0),
+        must_ask,
+        limits: od::Limits {
+            attempts: l.max_attempts.unwrap_or(1),
+            cancel: l.cancel,
+            probes: l.probes,
+            peers: l.peer_messages,
+            second_copies: l.second_copies,
+            retry_after: l.retry_after,
+            max_retry_after: l.max_retry_after,
+            connect_timeout: l.connect_timeout,
+            conn_idle: l.conn_idle,
+            streams_per_conn: l.streams_per_conn.unwrap_or(1),
+        },
+        prices: od::Prices {
+            cross_zone: p.cross_zone,
+            waste: p.waste,
+            connection: p.connection,
+            handshake: p.handshake,
+            origin: p.origin,
+            probe: p.probe,
+            peer: p.peer,
+            late_fail: p.late_fail,
+        },
+        reports,
+        rules: od::Rules {
+            ask_every: r.ask_every,
+            cold: r.cold,
+            cold_from: r.cold_from.unwrap_or(1.0),
+            drain_grace: r.drain_grace,
+            tip_after: r.tip_after,
+            tip_multiple: r.tip_multiple.unwrap_or(1.0),
+        },
+        progress: info.progress,
+        tells_start: info.tells_start,
+    })
+}
+
+/// The settings object, in the simulator's names and units. Unknown fields are skipped, absent ones get their
+/// documented meaning.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Options {
+    #[serde(default)]
+    pub az: u32,
+    #[serde(default)]
+    pub azs: Vec<String>,
+    #[serde(default)]
+    pub discovery: Option<String>,
+    #[serde(default)]
+    pub family_info: FamilyInfo,
+    pub grades: Vec<Grade>,
+    #[serde(default)]
+    pub kinds: Vec<String>,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub me: u32,
+    #[serde(default)]
+    pub n_instances: Option<u32>,
+    #[serde(default)]
+    pub over_share_worth: Option<f64>,
+    #[serde(default)]
+    pub prices: Prices,
+    #[serde(default)]
+    pub report: ReportForm,
+    #[serde(default)]
+    pub round: Option<u64>,
+    #[serde(default)]
+    pub rules: Rules,
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct FamilyInfo {
+    pub class_kind: Vec<i64>,
+    pub class_priority: Vec<i32>,
+    pub class_stretch: Vec<f64>,
+    pub progress: u64,
+    pub queue_order: Option<String>,
+    pub report_x0: Option<String>,
+    pub report_x1: Option<String>,
+    pub tells_start: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Grade {
+    #[serde(default)]
+    pub name: String,
+    pub aim: u64,
+    pub deadline: u64,
+    pub aim_stretch: Option<f64>,
+    pub effect: String,
+    pub dedup_scope: Option<String>,
+    pub key_ttl: Option<u64>,
+    pub late_share: Option<f64>,
+    #[serde(default)]
+    pub streaming: bool,
+    pub value: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub cancel: bool,
+    pub conn_idle: u64,
+    pub connect_timeout: u64,
+    pub max_attempts: Option<u32>,
+    pub max_retry_after: u64,
+    pub peer_messages: bool,
+    pub probes: bool,
+    pub retry_after: bool,
+    pub second_copies: bool,
+    pub streams_per_conn: Option<u32>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Prices {
+    pub connection: f64,
+    pub cross_zone: f64,
+    pub handshake: f64,
+    pub late_fail: f64,
+    pub origin: f64,
+    pub peer: f64,
+    pub probe: f64,
+    pub waste: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+pub struct ReportForm {
+    pub via: Option<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Rules {
+    pub ask_every: u64,
+    pub cold: u64,
+    pub cold_from: Option<f64>,
+    pub drain_grace: u64,
+    pub tip_after: u64,
+    pub tip_multiple: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Tenant {
+    #[serde(default)]
+    pub name: String,
+    pub quota_per_s: Option<f64>,
+}
--- /dev/null
+++ b/spanlead/src/core.rs
@@ -0,0 +1,529 @@
+//! The reducer: every change of state goes through [`Core::step`]. It owns the dispatcher, the requests, their
+//! attempts and the timers, knows no socket and no protocol, and is told the time. What is to be read or written it
+//! asks for as [`Effect`]s.
+use oatdock::{
+    Action, Dispatcher, Entry, Event, ListScope, Nanos, Note, Outcome, Report, RequestId, Settings,
+    SettingsError, WorkerId, WorkerState,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const MS: Nanos = 1_000_000;
+/// New requests are still taken for this long after the order to stop: clients go on using the connections they
+/// have, and the front needs a while to notice.
+const TAKEN_WHILE_STOPPING: Nanos = 500 * MS;
+/// How long a worker may take to acknowledge that an attempt is called off when the request is over anyway.
+const ABANDON_WAIT: Nanos = 1_000 * MS;
+/// How long a probe may take.
+const PROBE_WAIT: Nanos = 500 * MS;
+
+/// A request as it came in. `due` is when the client gives up; it travels with the request.
+#[derive(Debug)]
+pub struct Job {
+    pub id: Arc<str>,
+    pub class: u32,
+    pub tenant: u32,
+    pub slots: f64,
+    pub memory: f64,
+    pub key: Option<u64>,
+    pub due: Nanos,
+}
+
+/// An attempt: its request and its number, counted from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AttemptId(pub RequestId, pub u32);
+
+/// A worker as the list names it.
+#[derive(Clone, Debug)]
+pub struct Host {
+    pub name: Arc<str>,
+    pub addr: SocketAddr,
+    pub state: WorkerState,
+    pub started: Option<Nanos>,
+    pub kind: u32,
+    pub zone: u32,
+    pub cell: u32,
+    pub weight: f64,
+}
+
+/// How the exchange that hands an attempt to its worker ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Handover {
+    /// The worker has the job and will tell what becomes of it.
+    Taken,
+    /// The attempt is over.
+    Ended(Outcome, Option<Report>),
+}
+
+/// What a worker tells of a job that it has taken.
+#[derive(Debug)]
+pub enum News {
+    Started,
+    Running(f64),
+    Done(String),
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// All that can happen.
+#[derive(Debug)]
+pub enum Input {
+    Request {
+        ticket: RequestId,
+        job: Job,
+    },
+    ClientLeft {
+        ticket: RequestId,
+    },
+    Handover {
+        attempt: AttemptId,
+        how: Handover,
+    },
+    News {
+        id: String,
+        from: String,
+        news: News,
+        report: Option<Report>,
+    },
+    Abandoned {
+        attempt: AttemptId,
+    },
+    List {
+        scope: ListScope,
+        hosts: Vec<Host>,
+    },
+    Probed {
+        worker: Arc<str>,
+        sent: Nanos,
+        outcome: Outcome,
+        report: Option<Report>,
+    },
+    Peer {
+        from: u32,
+        data: Vec<u8>,
+    },
+    /// A timer may be due.
+    Tick,
+    /// The order to stop: finish what is owed.
+    Stop,
+}
+
+/// A request's one final answer.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Served(String),
+    Refused {
+        retry_after: Option<Nanos>,
+    },
+    Failed,
+    /// The id is that of a request still open.
+    Duplicate,
+}
+
+/// What the reducer wants done.
+#[derive(Debug)]
+pub enum Effect {
+    Answer { ticket: RequestId, answer: Answer },
+    Send { attempt: AttemptId, addr: SocketAddr, until: Nanos },
+    Abandon { attempt: AttemptId, addr: SocketAddr, id: Arc<str>, taken: bool, until: Nanos },
+    Probe { worker: Arc<str>, addr: SocketAddr, until: Nanos },
+    CloseIdle { addr: SocketAddr },
+    Tell { peer: Option<u32>, data: Vec<u8> },
+    Watch,
+    FetchList,
+    Log(String),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Sent; the worker has not said that it has the job.
+    Offered,
+    Taken,
+    /// Being called off; this outcome stands once the worker knows.
+    Leaving(Outcome),
+    Over,
+}
+
+struct Attempt {
+    worker: Arc<str>,
+    addr: SocketAddr,
+    sent: Nanos,
+    stage: Stage,
+}
+
+struct Request {
+    id: Arc<str>,
+    due: Nanos,
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+enum Timer {
+    Module(u64),
+    AttemptEnds(AttemptId),
+    Overdue(RequestId),
+}
+
+/// The scheduler's whole state.
+pub struct Core {
+    dispatcher: Dispatcher,
+    tick: Nanos,
+    max_open: usize,
+    requests: HashMap<RequestId, Request>,
+    /// The serial of each open request by the id that the clients and workers know.
+    by_id: HashMap<Arc<str>, RequestId>,
+    workers: HashMap<Arc<str>, Host>,
+    timers: BTreeMap<(Nanos, u64), Timer>,
+    timer_serial: u64,
+    stopping: Option<Nanos>,
+}
+
+impl Core {
+    /// A scheduler that knows no workers yet and holds at most `max_open` requests.
+    pub fn new(settings: Settings, seed: u64, max_open: usize) -> Result<Self, SettingsError> {
+        let tick = settings.tick;
+        Ok(Core {
+            dispatcher: Dispatcher::new(settings, seed)?,
+            tick,
+            max_open,
+            requests: HashMap::new(),
+            by_id: HashMap::new(),
+            workers: HashMap::new(),
+            timers: BTreeMap::new(),
+            timer_serial: 0,
+            stopping: None,
+        })
+    }
+
+    /// Whether new requests should come here.
+    pub fn ready(&self) -> bool {
+        self.stopping.is_none() && self.workers.values().any(|w| w.state == WorkerState::Ready)
+    }
+
+    /// Whether a request that comes now is still taken.
+    pub fn taking(&self, now: Nanos) -> bool {
+        self.stopping.is_none_or(|t| now < t + TAKEN_WHILE_STOPPING)
+    }
+
+    /// Whether a stopping scheduler owes nothing any more and nobody new can still come.
+    pub fn finished(&self, now: Nanos) -> bool {
+        !self.taking(now) && self.requests.is_empty()
+    }
+
+    /// When [`Input::Tick`] is next wanted.
+    pub fn next_timer(&self) -> Option<Nanos> {
+        let stop = self.stopping.map(|t| t + TAKEN_WHILE_STOPPING).filter(|_| self.requests.is_empty());
+        self.timers.first_key_value().map(|((at, _), _)| *at).into_iter().chain(stop).min()
+    }
+
+    /// Takes one input at time `now` and appends what is to be done.
+    pub fn step(&mut self, now: Nanos, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Request { ticket, job } => self.request(now, ticket, job, out),
+            Input::ClientLeft { ticket } => self.client_left(now, ticket, out),
+            Input::Handover { attempt, how } => self.handover(now, attempt, how, out),
+            Input::News { id, from, news, report } => self.news(now, &id, &from, news, report, out),
+            Input::Abandoned { attempt } => {
+                if let Some(Stage::Leaving(outcome)) = self.stage(attempt) {
+                    self.end(now, attempt, outcome, None, out);
+                }
+            }
+            Input::List { scope, hosts } => self.list(now, scope, hosts, out),
+            Input::Probed { worker, sent, outcome, report } => {
+                let event = Event::Probed { worker: &worker, outcome, lag: now.saturating_sub(sent), report };
+                self.decide(now, event, out);
+            }
+            Input::Peer { from, data } => self.decide(now, Event::Peer { from, data: &data }, out),
+            Input::Tick => self.run_timers(now, out),
+            Input::Stop => self.stopping = self.stopping.or(Some(now)),
+        }
+    }
+
+    fn decide(&mut self, now: Nanos, event: Event<'_>, out: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        self.dispatcher.handle(now, event, &mut actions);
+        for action in actions {
+            self.act(now, action, out);
+        }
+    }
+
+    fn act(&mut self, now: Nanos, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send { id, worker, timeout } => self.send(now, id, &worker, timeout, out),
+            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused { retry_after }, out),
+            Action::Fail { id } => self.answer(id, Answer::Failed, out),
+            Action::Cancel { id, attempt } => {
+                self.abandon(now, AttemptId(id, attempt), Outcome::Cancelled, out);
+            }
+            // A timer never rings in the round that sets it; what is a round in the simulator is a tick here.
+            Action::Timer { after, token } => {
+                self.set_timer(now + after.max(self.tick), Timer::Module(token))
+            }
+            Action::Probe { worker } => {
+                if let Some(host) = self.workers.get(&worker.0) {
+                    let (worker, addr, until) = (worker.0, host.addr, now + PROBE_WAIT);
+                    out.push(Effect::Probe { worker, addr, until });
+                }
+            }
+            Action::Close { worker } => {
+                out.extend(self.workers.get(&worker.0).map(|h| Effect::CloseIdle { addr: h.addr }));
+            }
+            Action::Tell { peer, data } => out.push(Effect::Tell { peer, data }),
+            Action::Subscribe => out.push(Effect::Watch),
+            Action::FetchList => out.push(Effect::FetchList),
+            Action::Log(text) => out.push(Effect::Log(text)),
+        }
+    }
+
+    // ------------------------------------------------------------ requests
+
+    fn request(&mut self, now: Nanos, ticket: RequestId, job: Job, out: &mut Vec<Effect>) {
+        // Two open requests under one id could be told apart by no worker, and would be two attempts of one.
+        if self.by_id.contains_key(&job.id) {
+            return out.push(Effect::Answer { ticket, answer: Answer::Duplicate });
+        }
+        if !self.taking(now) || self.requests.len() >= self.max_open {
+            return out
+                .push(Effect::Answer { ticket, answer: Answer::Refused { retry_after: Some(300 * MS) } });
+        }
+        self.by_id.insert(job.id.clone(), ticket);
+        let request = Request { id: job.id, due: job.due, answered: false, attempts: Vec::new() };
+        self.requests.insert(ticket, request);
+        // Guards the one rule that nothing may break: should the module ever hold a request past its due time,
+        // it still gets its answer.
+        self.set_timer(job.due + self.tick, Timer::Overdue(ticket));
+        let request = oatdock::Request {
+            id: ticket,
+            class: job.class,
+            slots: job.slots,
+            memory: job.memory,
+            tenant: job.tenant,
+            key: job.key,
+            hint: None,
+            left: job.due.saturating_sub(now),
+        };
+        self.decide(now, Event::Request(request), out);
+    }
+
+    fn client_left(&mut self, now: Nanos, ticket: RequestId, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return };
+        request.answered = true;
+        self.decide(now, Event::Gone(ticket), out);
+        self.abandon_all(now, ticket, out);
+        self.forget(ticket);
+    }
+
+    fn answer(&mut self, ticket: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return };
+        request.answered = true;
+        out.push(Effect::Answer { ticket, answer });
+        self.forget(ticket);
+    }
+
+    /// The one place where a request is given back: it is answered and no attempt is out.
+    fn forget(&mut self, ticket: RequestId) {
+        let done = |r: &Request| r.answered && r.attempts.iter().all(|a| a.stage == Stage::Over);
+        if self.requests.get(&ticket).is_some_and(done)
+            && let Some(request) = self.requests.remove(&ticket)
+        {
+            self.by_id.remove(&request.id);
+        }
+    }
+
+    // ------------------------------------------------------------ attempts
+
+    fn send(
+        &mut self,
+        now: Nanos,
+        ticket: RequestId,
+        to: &WorkerId,
+        wait: Option<Nanos>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let attempt = AttemptId(ticket, request.attempts.len() as u32);
+        let until = wait.map_or(request.due, |span| request.due.min(now + span));
+        let Some(host) = self.workers.get(&to.0).filter(|_| !request.answered && now < until) else {
+            let event = Event::Ended {
+                id: ticket,
+                attempt: attempt.1,
+                outcome: Outcome::Moot,
+                closed: request.answered,
+                lag: 0,
+                report: None,
+            };
+            let addr = SocketAddr::from(([0, 0, 0, 0], 0));
+            request.attempts.push(Attempt { worker: to.0.clone(), addr, sent: now, stage: Stage::Over });
+            return self.decide(now, event, out);
+        };
+        let addr = host.addr;
+        request.attempts.push(Attempt { worker: to.0.clone(), addr, sent: now, stage: Stage::Offered });
+        self.set_timer(until, Timer::AttemptEnds(attempt));
+        out.push(Effect::Send { attempt, addr, until });
+    }
+
+    fn stage(&self, AttemptId(ticket, number): AttemptId) -> Option<Stage> {
+        Some(self.requests.get(&ticket)?.attempts.get(number as usize)?.stage)
+    }
+
+    fn handover(&mut self, now: Nanos, attempt: AttemptId, how: Handover, out: &mut Vec<Effect>) {
+        match (self.stage(attempt), how) {
+            (Some(Stage::Offered), Handover::Taken) => self.set_stage(attempt, Stage::Taken),
+            // It was called off while the worker's word that it has the job was on its way.
+            (Some(Stage::Leaving(outcome)), Handover::Taken) => {
+                self.set_stage(attempt, Stage::Taken);
+                self.abandon(now, attempt, outcome, out);
+            }
+            (Some(Stage::Offered | Stage::Leaving(_)), Handover::Ended(outcome, report)) => {
+                self.end(now, attempt, outcome, report, out);
+            }
+            // A worker's notice may have ended it before the answer to the send came.
+            _ => {}
+        }
+    }
+
+    fn set_stage(&mut self, AttemptId(ticket, number): AttemptId, stage: Stage) {
+        let request = self.requests.get_mut(&ticket);
+        if let Some(attempt) = request.and_then(|r| r.attempts.get_mut(number as usize)) {
+            attempt.stage = stage;
+        }
+    }
+
+    /// Notices repeat, overtake the answer to the send and come late: only one that matches an attempt that is
+    /// still out, at the worker that it was sent to, changes anything. (The module never sends a request twice to
+    /// one worker, so id and worker name the attempt.)
+    fn news(
+        &mut self,
+        now: Nanos,
+        id: &str,
+        from: &str,
+        news: News,
+        report: Option<Report>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(&ticket) = self.by_id.get(id) else { return };
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let out_there = |a: &Attempt| &*a.worker == from && a.stage != Stage::Over;
+        let Some(number) = request.attempts.iter().rposition(out_there) else { return };
+        let attempt = AttemptId(ticket, number as u32);
+        let note = |note| Event::Note { id: ticket, attempt: attempt.1, note };
+        match news {
+            News::Started => self.decide(now, note(Note::Started), out),
+            News::Running(share) => self.decide(now, note(Note::Progress(share)), out),
+            News::Done(result) => {
+                self.answer(ticket, Answer::Served(result), out);
+                self.end(now, attempt, Outcome::Ok, report, out);
+            }
+            News::Failed => self.end(now, attempt, Outcome::Error, report, out),
+            News::Returned => self.end(now, attempt, Outcome::Full, report, out),
+            News::Lost => self.end(now, attempt, Outcome::Reset, report, out),
+        }
+    }
+
+    /// Calls an attempt off. While another may follow, its outcome waits until the worker knows, so that two are
+    /// never out at once; when the request is over, nothing waits for it.
+    fn abandon(&mut self, now: Nanos, attempt: AttemptId, outcome: Outcome, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&attempt.0) else { return };
+        let (over, due) = (request.answered || now >= request.due, request.due);
+        let Some(this) = request.attempts.get_mut(attempt.1 as usize) else { return };
+        let taken = match this.stage {
+            Stage::Offered => false,
+            Stage::Taken => true,
+            Stage::Leaving(_) | Stage::Over => return,
+        };
+        this.stage = Stage::Leaving(outcome);
+        let until = if over { now + ABANDON_WAIT } else { due.max(now + ABANDON_WAIT) };
+        out.push(Effect::Abandon { attempt, addr: this.addr, id: request.id.clone(), taken, until });
+        if over {
+            self.end(now, attempt, outcome, None, out);
+        }
+    }
+
+    fn abandon_all(&mut self, now: Nanos, ticket: RequestId, out: &mut Vec<Effect>) {
+        let attempts = self.requests.get(&ticket).map_or(0, |r| r.attempts.len());
+        for number in 0..attempts {
+            self.abandon(now, AttemptId(ticket, number as u32), Outcome::Cancelled, out);
+        }
+    }
+
+    /// The one place where an attempt ends.
+    fn end(
+        &mut self,
+        now: Nanos,
+        attempt: AttemptId,
+        outcome: Outcome,
+        report: Option<Report>,
+        out: &mut Vec<Effect>,
+    ) {
+        let AttemptId(ticket, number) = attempt;
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let closed = request.answered;
+        let Some(this) = request.attempts.get_mut(number as usize).filter(|a| a.stage != Stage::Over) else {
+            return;
+        };
+        this.stage = Stage::Over;
+        let lag = now.saturating_sub(this.sent);
+        let event = Event::Ended { id: ticket, attempt: number, outcome, closed, lag, report };
+        self.decide(now, event, out);
+        self.forget(ticket);
+    }
+
+    // ------------------------------------------------------------ timers
+
+    fn set_timer(&mut self, at: Nanos, timer: Timer) {
+        self.timer_serial += 1;
+        self.timers.insert((at, self.timer_serial), timer);
+    }
+
+    fn run_timers(&mut self, now: Nanos, out: &mut Vec<Effect>) {
+        while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                Timer::Module(token) => self.decide(now, Event::Timer(token), out),
+                Timer::AttemptEnds(attempt) => self.abandon(now, attempt, Outcome::Timeout, out),
+                Timer::Overdue(ticket) => {
+                    if self.requests.get(&ticket).is_some_and(|r| !r.answered) {
+                        self.answer(ticket, Answer::Failed, out);
+                        self.decide(now, Event::Gone(ticket), out);
+                        self.abandon_all(now, ticket, out);
+                    }
+                }
+            }
+        }
+    }
+
+    // ------------------------------------------------------------ workers
+
+    fn list(&mut self, now: Nanos, scope: ListScope, hosts: Vec<Host>, out: &mut Vec<Effect>) {
+        if matches!(scope, ListScope::Full | ListScope::Cached) {
+            for host in self.workers.values_mut() {
+                if !hosts.iter().any(|h| h.name == host.name) {
+                    host.state = WorkerState::Gone;
+                }
+            }
+        }
+        for host in &hosts {
+            let old = self.workers.insert(host.name.clone(), host.clone());
+            // A connection to a process that was replaced or removed only waits to be reset under a request.
+            let changed = |o: &Host| o.started != host.started || o.addr != host.addr;
+            if let Some(old) = old.filter(|o| changed(o) || host.state == WorkerState::Gone) {
+                out.push(Effect::CloseIdle { addr: old.addr });
+            }
+        }
+        let entries: Vec<Entry<'_>> = hosts.iter().map(entry).collect();
+        self.decide(now, Event::Members { scope, entries: &entries }, out);
+    }
+}
+
+fn entry(host: &Host) -> Entry<'_> {
+    Entry {
+        worker: &host.name,
+        state: host.state,
+        started: host.started,
+        kind: host.kind,
+        zone: host.zone,
+        cell: host.cell,
+        weight: host.weight,
+    }
+}
--- /dev/null
+++ b/spanlead/src/driver.rs
@@ -0,0 +1,249 @@
+//! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
+use crate::config::Config;
+use crate::core::{Answer, AttemptId, Core, Effect, Input};
+use crate::net::clients::{Arrival, Front};
+use crate::net::discovery::Discovery;
+use crate::net::peers::PeerLink;
+use crate::net::wire::{Notice, Parcel};
+use crate::net::workers::Pool;
+use oatdock::{ListScope, Nanos, RequestId};
+use settings::Reports;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until};
+
+/// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
+/// output, discovery, peers, and some to spare.
+const OTHER_SOCKETS: usize = 32;
+/// Client connections that are always left for the workers' notices.
+const NOTICE_SOCKETS: usize = 32;
+/// How often idle connections to workers are looked through.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// How long the last connections may take to close at the end.
+const LAST_CLOSE: Duration = Duration::from_secs(1);
+
+/// The monotonic clock, counted so that its start lies at the wall clock's time of then: list entries' wall-clock
+/// times can be set against it, and it never jumps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    wall: Nanos,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
+        Clock { start: Instant::now(), wall }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Nanos {
+        self.wall + self.start.elapsed().as_nanos() as Nanos
+    }
+
+    /// The runtime's word for a time.
+    pub fn instant(&self, at: Nanos) -> Instant {
+        self.start + Duration::from_nanos(at.saturating_sub(self.wall))
+    }
+}
+
+/// What reaches the driver.
+pub enum Message {
+    Arrival(Arrival),
+    Notice(Notice),
+    Input(Input),
+}
+
+struct Open {
+    reply: oneshot::Sender<Answer>,
+    parcel: Arc<Parcel>,
+}
+
+struct Driver {
+    core: Core,
+    clock: Clock,
+    reports: Reports,
+    /// Requests that wait for their answer.
+    open: HashMap<RequestId, Open>,
+    /// Attempts that are being handed to their workers.
+    handovers: HashMap<AttemptId, JoinHandle<()>>,
+    pool: Arc<Pool>,
+    front: Arc<Front>,
+    discovery: Discovery,
+    list_version: Arc<AtomicU64>,
+    peers: Option<PeerLink>,
+    to: UnboundedSender<Message>,
+    effects: Vec<Effect>,
+}
+
+/// Serves until told to stop, then until nothing is owed.
+pub async fn serve(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+    let keep = Duration::from_nanos(config.keep_idle());
+    let limits = config.deployment.settings.limits.clone();
+    let connect_wait = Duration::from_nanos(limits.connect_timeout);
+    let reports = config.deployment.reports;
+    let names = Arc::new(config.deployment.names);
+    let each = (config.sockets - OTHER_SOCKETS) / 2;
+
+    let clock = Clock::new();
+    let (to, inbox) = unbounded_channel();
+    let listener = TcpListener::bind(config.listen).await?;
+    let bound = listener.local_addr()?;
+    let peers = match config.peers {
+        Some(peers) => Some(PeerLink::open(peers, to.clone()).await?),
+        None => None,
+    };
+    let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
+    let mut driver = Driver {
+        core: Core::new(config.deployment.settings, config.seed, each - NOTICE_SOCKETS)?,
+        clock,
+        reports,
+        open: HashMap::new(),
+        handovers: HashMap::new(),
+        pool: Arc::new(Pool::new(each, keep, connect_wait, reports)),
+        front: front.clone(),
+        discovery: Discovery { addr: config.discovery, names, to: to.clone() },
+        list_version: Arc::new(AtomicU64::new(config.known_seq)),
+        peers,
+        to,
+        effects: Vec::new(),
+    };
+    driver.step(Input::List { scope: ListScope::Cached, hosts: config.known });
+    tokio::spawn(front.listen(listener, each));
+    tracing::info!(name = config.name, address = %bound, "listening");
+    driver.run(inbox).await?;
+    tracing::info!("nothing is owed any more");
+    Ok(())
+}
+
+impl Driver {
+    async fn run(&mut self, mut inbox: UnboundedReceiver<Message>) -> std::io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut sweep = tokio::time::interval(SWEEP_EVERY);
+        while !self.core.finished(self.clock.now()) {
+            let timer = self.core.next_timer().map(|at| self.clock.instant(at));
+            let far = Instant::now() + SWEEP_EVERY;
+            tokio::select! {
+                message = inbox.recv() => if let Some(message) = message { self.receive(message) },
+                () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
+                _ = sweep.tick() => self.sweep(),
+                _ = terminate.recv() => self.stop(),
+                _ = interrupt.recv() => self.stop(),
+            }
+        }
+        self.front.close(Instant::now() + LAST_CLOSE).await;
+        Ok(())
+    }
+
+    fn sweep(&mut self) {
+        self.pool.sweep();
+        // An idle client would only find out from its next request that nothing new is taken here.
+        if !self.core.taking(self.clock.now()) {
+            self.front.close_idle();
+        }
+    }
+
+    fn stop(&mut self) {
+        tracing::info!(open = self.open.len(), "stopping");
+        self.front.closing.store(true, Ordering::Relaxed);
+        self.step(Input::Stop);
+    }
+
+    fn receive(&mut self, message: Message) {
+        match message {
+            Message::Arrival(Arrival { ticket, job, parcel, reply }) => {
+                self.open.insert(ticket, Open { reply, parcel: Arc::new(parcel) });
+                self.step(Input::Request { ticket, job });
+            }
+            Message::Notice(mut notice) => {
+                let news = notice.news();
+                let report = notice.load.map(|f| self.reports.report(f));
+                self.step(Input::News { id: notice.id, from: notice.from, news, report });
+            }
+            Message::Input(input) => {
+                if let Input::Handover { attempt, .. } = &input {
+                    self.handovers.remove(attempt);
+                }
+                if let Input::ClientLeft { ticket } = &input {
+                    self.open.remove(ticket);
+                }
+                self.step(input);
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.core.step(self.clock.now(), input, &mut effects);
+        for effect in effects.drain(..) {
+            self.perform(effect);
+        }
+        self.effects = effects;
+        self.front.ready.store(self.core.ready(), Ordering::Relaxed);
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        let (pool, to) = (self.pool.clone(), self.to.clone());
+        match effect {
+            Effect::Answer { ticket, answer } => {
+                if let Some(open) = self.open.remove(&ticket) {
+                    // A client that has just left needs no answer.
+                    let _ = open.reply.send(answer);
+                }
+            }
+            Effect::Send { attempt, addr, until } => {
+                let Some(open) = self.open.get(&attempt.0) else { return };
+                let (parcel, until) = (open.parcel.clone(), self.clock.instant(until));
+                let handover = tokio::spawn(async move {
+                    let how = pool.hand_over(addr, &parcel, until).await;
+                    let _ = to.send(Message::Input(Input::Handover { attempt, how }));
+                });
+                self.handovers.insert(attempt, handover);
+            }
+            Effect::Abandon { attempt, addr, id, taken, until } => {
+                let until = self.clock.instant(until);
+                if taken {
+                    tokio::spawn(async move {
+                        pool.abandon(addr, &id, until).await;
+                        let _ = to.send(Message::Input(Input::Abandoned { attempt }));
+                    });
+                } else if let Some(handover) = self.handovers.get(&attempt).filter(|h| !h.is_finished()) {
+                    // Its connection closes with it. One that has finished has its result in the inbox.
+                    handover.abort();
+                    self.handovers.remove(&attempt);
+                    let _ = to.send(Message::Input(Input::Abandoned { attempt }));
+                }
+            }
+            Effect::Probe { worker, addr, until } => {
+                let (sent, until) = (self.clock.now(), self.clock.instant(until));
+                tokio::spawn(async move {
+                    let (outcome, report) = pool.probe(addr, until).await;
+                    let _ = to.send(Message::Input(Input::Probed { worker, sent, outcome, report }));
+                });
+            }
+            Effect::CloseIdle { addr } => pool.close_idle(addr),
+            Effect::Tell { peer, data } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(peer, &data);
+                }
+            }
+            Effect::Watch => {
+                let (discovery, version) = (self.discovery.clone(), self.list_version.clone());
+                tokio::spawn(async move {
+                    let reached = discovery.watch(version.load(Ordering::Relaxed)).await;
+                    version.store(reached, Ordering::Relaxed);
+                });
+            }
+            Effect::FetchList => drop(tokio::spawn(self.discovery.clone().fetch())),
+            Effect::Log(text) => tracing::info!("{text}"),
+        }
+    }
+}
--- /dev/null
+++ b/spanlead/src/net/discovery.rs
@@ -0,0 +1,85 @@
+//! The list of workers: a watch that goes on until it fails, and single calls.
+use super::wire::{self, Body, List};
+use super::workers::{Connection, connect};
+use crate::core::{Host, Input};
+use crate::driver::Message;
+use hyper::{Request, StatusCode};
+use oatdock::ListScope;
+use settings::Names;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+/// How long one call of the watch waits for news.
+const WAIT: Duration = Duration::from_secs(10);
+/// How much later than that the answer may come; discovery works through its calls one by one.
+const LATE: Duration = Duration::from_secs(2);
+/// The longest list that is read: a few hundred bytes for each of thousands of workers.
+const MAX_LIST: usize = 4 << 20;
+
+/// Discovery as one scheduler sees it.
+#[derive(Clone)]
+pub struct Discovery {
+    pub addr: SocketAddr,
+    pub names: Arc<Names>,
+    pub to: UnboundedSender<Message>,
+}
+
+impl Discovery {
+    /// Watches for changes after version `seq` until a call fails, which is told as such: the module decides when to
+    /// ask again. Returns the version it got to.
+    pub async fn watch(self, mut seq: u64) -> u64 {
+        // The first call brings what was missed and does not wait; its answer also tells that the watch stands.
+        let (mut wait, mut first) = (Duration::ZERO, true);
+        let mut connection = None;
+        loop {
+            let until = Instant::now() + wait + LATE;
+            let call = wire::watch(seq, wait.as_millis() as u64);
+            match self.call(&mut connection, call, until).await {
+                Some(list) => {
+                    seq = list.seq;
+                    let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
+                    let hosts = list.hosts(&self.names);
+                    if first || scope == ListScope::Full || !hosts.is_empty() {
+                        self.tell(scope, hosts);
+                    }
+                    (wait, first) = (WAIT, false);
+                }
+                None => {
+                    tracing::info!(seq, "discovery call failed");
+                    self.tell(ListScope::Failed, Vec::new());
+                    return seq;
+                }
+            }
+        }
+    }
+
+    /// Asks for the whole list once.
+    pub async fn fetch(self) {
+        match self.call(&mut None, wire::whole_list(), Instant::now() + LATE).await {
+            Some(list) => self.tell(ListScope::Full, list.hosts(&self.names)),
+            None => self.tell(ListScope::Failed, Vec::new()),
+        }
+    }
+
+    async fn call(
+        &self,
+        connection: &mut Option<Connection>,
+        call: Option<Request<Body>>,
+        until: Instant,
+    ) -> Option<List> {
+        let mut open = match connection.take() {
+            Some(open) => open,
+            None => connect(self.addr, until, None).await.ok()?,
+        };
+        let (status, _, body) = open.exchange(call?, until, MAX_LIST).await.ok()?;
+        *connection = Some(open);
+        List::read(&body).filter(|_| status == StatusCode::OK)
+    }
+
+    fn tell(&self, scope: ListScope, hosts: Vec<Host>) {
+        let _ = self.to.send(Message::Input(Input::List { scope, hosts }));
+    }
+}
--- /dev/null
+++ b/spanlead/src/net/wire.rs
@@ -0,0 +1,327 @@
+//! The messages on the sockets: each is decoded once into a small typed value, and encoded once.
+use crate::core::{Answer, Host, Job, News};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use oatdock::{Nanos, Report, WorkerState};
+use serde::Deserialize;
+use settings::{Figures, Names, Reports, position};
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// No body is larger.
+pub const MAX_BODY: usize = 64 * 1024;
+/// The path of the workers' notices.
+pub const CALLBACK: &str = "/callback";
+/// The path that tells whether requests can be taken.
+pub const HEALTH: &str = "/healthz";
+
+static REQ_ID: HeaderName = HeaderName::from_static("req-id");
+static REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
+static REQ_KEY: HeaderName = HeaderName::from_static("req-key");
+static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+static REQ_EXTRA: HeaderName = HeaderName::from_static("req-extra");
+static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+static DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+static LOAD: HeaderName = HeaderName::from_static("srv-load");
+
+/// The longest deadline that is believed, milliseconds: later ones could only be a mistake.
+const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+/// The longest id; it becomes part of a path.
+const MAX_ID: usize = 128;
+
+pub type Body = Full<Bytes>;
+
+// ---------------------------------------------------------------- clients
+
+/// What of a client's request goes on to a worker unchanged.
+#[derive(Debug)]
+pub struct Parcel {
+    method: Method,
+    uri: Uri,
+    id: HeaderValue,
+    idempotency_key: Option<HeaderValue>,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+}
+
+/// A request that can't be taken: the answer's status and what is wrong.
+#[derive(Debug)]
+pub struct Rejected(pub StatusCode, pub &'static str);
+
+const fn bad(why: &'static str) -> Rejected {
+    Rejected(StatusCode::BAD_REQUEST, why)
+}
+
+/// Reads a job's head; `arrived` is when it came, which turns its span into an instant.
+pub fn job(head: &Parts, names: &Names, arrived: Nanos) -> Result<Job, Rejected> {
+    let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
+    let class = position(&names.classes, class).ok_or(Rejected(StatusCode::NOT_FOUND, "unknown class"))?;
+    if head.method != Method::POST {
+        return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST"));
+    }
+    let id = text(&head.headers, &REQ_ID).ok_or(bad("Req-Id is missing"))?;
+    // The id becomes a path's segment in a call to a worker.
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    if id.is_empty() || id.len() > MAX_ID || id.starts_with('.') || !id.bytes().all(plain) {
+        return Err(bad("Req-Id is not a plain word"));
+    }
+    let tenant = match text(&head.headers, &REQ_OWNER) {
+        Some(owner) => position(&names.tenants, owner).ok_or(bad("Req-Owner is unknown"))?,
+        None if names.tenants.is_empty() => 0,
+        None => return Err(bad("Req-Owner is missing")),
+    };
+    let deadline = text(&head.headers, &REQ_DEADLINE).ok_or(bad("Req-Deadline-Ms is missing"))?;
+    let deadline: u64 = deadline.parse().map_err(|_| bad("Req-Deadline-Ms is not a whole number"))?;
+    if deadline > MAX_DEADLINE_MS {
+        return Err(bad("Req-Deadline-Ms is too far away"));
+    }
+    let extra = text(&head.headers, &REQ_EXTRA).unwrap_or("");
+    let figure = |name: &str| pairs(extra).find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<f64>().ok());
+    let amount = |name: &str| figure(name).filter(|x| x.is_finite() && *x >= 0.0);
+    Ok(Job {
+        id: Arc::from(id),
+        class,
+        tenant,
+        slots: amount("slots").unwrap_or(1.0),
+        memory: amount("memory").unwrap_or(0.0),
+        key: head.headers.get(&REQ_KEY).map(|k| xxh3_64(k.as_bytes())),
+        due: arrived + deadline * 1_000_000,
+    })
+}
+
+/// Keeps what a worker will need of a request.
+pub fn parcel(head: Parts, body: Bytes) -> Parcel {
+    let header = |name: &HeaderName| head.headers.get(name).cloned();
+    let id = header(&REQ_ID).unwrap_or(HeaderValue::from_static(""));
+    let (idempotency_key, content_type) = (header(&IDEMPOTENCY_KEY), header(&CONTENT_TYPE));
+    Parcel { method: head.method, uri: head.uri, id, idempotency_key, content_type, body }
+}
+
+/// A request's final answer.
+pub fn answer(answer: Answer) -> Response<Body> {
+    match answer {
+        Answer::Served(result) => plain(StatusCode::OK, result),
+        Answer::Refused { retry_after } => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
+            let advice = retry_after.map(|span| format!("{:.3}", span as f64 / 1e9));
+            if let Some(value) = advice.and_then(|text| HeaderValue::try_from(text).ok()) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+            response
+        }
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+        Answer::Duplicate => plain(StatusCode::CONFLICT, "a request with this id is open\n"),
+    }
+}
+
+/// A response of that status and text.
+pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Tells the other side that the connection ends after this.
+pub fn closing(mut response: Response<Body>) -> Response<Body> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+// ---------------------------------------------------------------- workers
+
+/// A worker's notice of a job.
+#[derive(Debug, Deserialize)]
+pub struct Notice {
+    pub id: String,
+    pub from: String,
+    state: State,
+    #[serde(default)]
+    share: f64,
+    #[serde(default)]
+    result: String,
+    pub load: Option<Figures>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Started,
+    Running,
+    Done,
+    Failed,
+    Returned,
+    Lost,
+}
+
+impl Notice {
+    /// Reads the body of a notice.
+    pub fn read(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+
+    /// What it says.
+    pub fn news(&mut self) -> News {
+        match self.state {
+            State::Started => News::Started,
+            State::Running => News::Running(self.share),
+            State::Done => News::Done(std::mem::take(&mut self.result)),
+            State::Failed => News::Failed,
+            State::Returned => News::Returned,
+            State::Lost => News::Lost,
+        }
+    }
+}
+
+/// What a worker answered: all that matters of it.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    /// The worker says that it has not begun.
+    pub declined: bool,
+    pub report: Option<Report>,
+    pub body: Bytes,
+}
+
+/// Reads a worker's answer.
+pub fn reply(status: StatusCode, headers: &HeaderMap, body: Bytes, reports: Reports) -> Reply {
+    let declined = headers.get(&DECLINED).is_some_and(|v| v == "1");
+    let load = text(headers, &LOAD).and_then(load);
+    Reply { status, declined, report: load.map(|f| reports.report(f)), body }
+}
+
+/// Reads a load report: `TEXT name=value, ...`, or the same as a JSON object.
+pub fn load(text: &str) -> Option<Figures> {
+    let text = text.trim();
+    if text.starts_with('{') {
+        return serde_json::from_str(text).ok();
+    }
+    let text = text.strip_prefix("TEXT").unwrap_or(text);
+    let numbers =
+        pairs(text).filter_map(|(name, value)| Some((name.to_owned(), value.parse::<f64>().ok()?.into())));
+    Figures::deserialize(serde_json::Value::Object(numbers.collect())).ok()
+}
+
+/// The request that hands a job to a worker; `left_ms` is how long the scheduler will wait.
+pub fn handover(parcel: &Parcel, left_ms: u64) -> Request<Body> {
+    let mut request = Request::new(Full::new(parcel.body.clone()));
+    *request.method_mut() = parcel.method.clone();
+    *request.uri_mut() = parcel.uri.clone();
+    let headers = request.headers_mut();
+    headers.insert(HOST, HeaderValue::from_static("backend.local"));
+    headers.insert(&REQ_ID, parcel.id.clone());
+    headers.insert(&REQ_DEADLINE, HeaderValue::from(left_ms));
+    let optional = [(IDEMPOTENCY_KEY.clone(), &parcel.idempotency_key), (CONTENT_TYPE, &parcel.content_type)];
+    headers.extend(optional.into_iter().filter_map(|(name, value)| Some((name, value.clone()?))));
+    request
+}
+
+/// The call that abandons an attempt.
+pub fn abandon(id: &str) -> Option<Request<Body>> {
+    bare(Method::DELETE, &format!("/jobs/{id}"))
+}
+
+/// A probe.
+pub fn probe() -> Option<Request<Body>> {
+    bare(Method::GET, "/load")
+}
+
+// ---------------------------------------------------------------- discovery
+
+/// The list of workers, or the changes in it.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct List {
+    pub seq: u64,
+    pub whole: bool,
+    hosts: Vec<Row>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Row {
+    host: String,
+    dial: String,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u32,
+    health: Health,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Health {
+    Active,
+    Leaving,
+    Left,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl List {
+    /// Reads discovery's answer.
+    pub fn read(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+
+    /// Its entries; one without a usable address can't be reached and is left out.
+    pub fn hosts(self, names: &Names) -> Vec<Host> {
+        let number = |names: &[String], name: &str| position(names, name).unwrap_or(u32::MAX);
+        let host = |row: Row| {
+            let Ok(addr) = row.dial.parse() else {
+                tracing::warn!(worker = %row.host, dial = row.dial, "worker without a usable address");
+                return None;
+            };
+            Some(Host {
+                addr,
+                state: match row.health {
+                    Health::Active => WorkerState::Ready,
+                    Health::Leaving => WorkerState::Draining,
+                    Health::Left => WorkerState::Gone,
+                },
+                // The scheduler's clock is anchored to the wall clock at its start: see `driver::Clock`.
+                started: Some(row.born_ms * 1_000_000).filter(|t| *t > 0),
+                kind: number(&names.kinds, &row.class),
+                zone: number(&names.zones, &row.site),
+                cell: row.block,
+                weight: row.share,
+                name: Arc::from(row.host),
+            })
+        };
+        self.hosts.into_iter().filter_map(host).collect()
+    }
+}
+
+/// The call for the whole list.
+pub fn whole_list() -> Option<Request<Body>> {
+    bare(Method::GET, "/v1/servers")
+}
+
+/// The call that waits up to `wait_ms` for changes after version `seq`.
+pub fn watch(seq: u64, wait_ms: u64) -> Option<Request<Body>> {
+    bare(Method::GET, &format!("/v1/servers?index={seq}&wait={wait_ms}"))
+}
+
+// ---------------------------------------------------------------- parts
+
+fn bare(method: Method, path: &str) -> Option<Request<Body>> {
+    Request::builder().method(method).uri(path).header(HOST, "backend.local").body(Full::default()).ok()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+fn pairs(text: &str) -> impl Iterator<Item = (&str, &str)> {
+    text.split(',').filter_map(|pair| pair.split_once('=')).map(|(name, value)| (name.trim(), value.trim()))
+}
--- /dev/null
+++ b/spanlead/src/net/workers.rs
@@ -0,0 +1,303 @@
+//! Connections to workers, the pool that keeps them between requests, and what is asked over them.
+use super::lock;
+use super::wire::{self, Body, Parcel, Reply};
+use crate::core::Handover;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use oatdock::{Outcome, Report};
+use settings::Reports;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// The pause before an unanswered call that abandons an attempt is made again.
+const ABANDON_AGAIN: Duration = Duration::from_millis(200);
+
+/// Why an exchange brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// The request's last byte was not written: no worker can have begun it.
+    Unsent,
+    /// The connection broke after that.
+    Broken,
+    /// The deadline passed.
+    Overdue,
+}
+
+// ---------------------------------------------------------------- one connection
+
+/// Counts what has left for the other side. Only a request whose last byte was never written is proved not to have
+/// run; what hyper took into its buffers proves nothing.
+#[derive(Default)]
+struct Meter {
+    /// Bytes of the present request still to be written: its body's, while its head is going out.
+    left: AtomicU64,
+    /// How much of the blank line that ends the head has been written; 4 is all of it.
+    head_end: AtomicU64,
+}
+
+impl Meter {
+    fn begin(&self, body: u64) {
+        self.left.store(body, Ordering::Relaxed);
+        self.head_end.store(0, Ordering::Relaxed);
+    }
+
+    fn wrote(&self, bytes: &[u8]) {
+        let mut matched = self.head_end.load(Ordering::Relaxed);
+        let mut rest = bytes;
+        while matched < 4 {
+            let Some((&byte, tail)) = rest.split_first() else { break };
+            matched = match byte {
+                b if b == b"\r\n\r\n"[matched as usize] => matched + 1,
+                b'\r' => 1,
+                _ => 0,
+            };
+            rest = tail;
+        }
+        self.head_end.store(matched, Ordering::Relaxed);
+        let left = self.left.load(Ordering::Relaxed);
+        self.left.store(left.saturating_sub(rest.len() as u64), Ordering::Relaxed);
+    }
+
+    fn all_written(&self) -> bool {
+        self.head_end.load(Ordering::Relaxed) == 4 && self.left.load(Ordering::Relaxed) == 0
+    }
+}
+
+/// The stream under a connection. It owns the connection's descriptor, and its share of the budget is given back
+/// with it.
+struct Stream {
+    stream: TcpStream,
+    meter: Arc<Meter>,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(cx, to)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let n = ready!(Pin::new(&mut this.stream).poll_write(cx, bytes))?;
+        this.meter.wrote(&bytes[..n]);
+        Poll::Ready(Ok(n))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection that carries one request at a time. Dropping it closes it, whatever is under way.
+pub struct Connection {
+    sender: SendRequest<Body>,
+    meter: Arc<Meter>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Opens a connection.
+pub async fn connect(
+    addr: SocketAddr,
+    until: Instant,
+    permit: Option<OwnedSemaphorePermit>,
+) -> Result<Connection, Fault> {
+    let stream = match timeout_at(until, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => stream,
+        _ => return Err(Fault::Unsent),
+    };
+    let _ = stream.set_nodelay(true);
+    let meter = Arc::new(Meter::default());
+    let stream = Stream { stream, meter: meter.clone(), _permit: permit };
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|_| Fault::Unsent)?;
+    // Errors reach whoever waits for an answer; between requests they only mean that the connection is gone.
+    let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+    Ok(Connection { sender, meter, task })
+}
+
+impl Connection {
+    /// Sends a request and reads the whole answer.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Body>,
+        until: Instant,
+        max_body: usize,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), Fault> {
+        self.meter.begin(hyper::body::Body::size_hint(request.body()).lower());
+        let meter = self.meter.clone();
+        let broken = move || if meter.all_written() { Fault::Broken } else { Fault::Unsent };
+        let whole = async {
+            self.sender.ready().await.map_err(|_| Fault::Unsent)?;
+            let response = self.sender.send_request(request).await.map_err(|_| broken())?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, max_body).collect().await.map_err(|_| broken())?;
+            Ok((head.status, head.headers, body.to_bytes()))
+        };
+        timeout_at(until, whole).await.unwrap_or(Err(Fault::Overdue))
+    }
+}
+
+// ---------------------------------------------------------------- the pool
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// The connections to workers: the owner of those that are idle, and of the descriptors for all.
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    budget: Arc<Semaphore>,
+    keep: Duration,
+    connect_wait: Duration,
+    reports: Reports,
+}
+
+impl Pool {
+    /// A pool of at most `budget` connections that keeps idle ones for `keep`; a connection that is not up after
+    /// `connect_wait` counts as failed.
+    pub fn new(budget: usize, keep: Duration, connect_wait: Duration, reports: Reports) -> Self {
+        let budget = Arc::new(Semaphore::new(budget));
+        Pool { idle: Mutex::default(), budget, keep, connect_wait, reports }
+    }
+
+    /// Hands an attempt to its worker.
+    pub async fn hand_over(&self, addr: SocketAddr, parcel: &Parcel, until: Instant) -> Handover {
+        let left_ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        match self.call(addr, || Some(wire::handover(parcel, left_ms)), until).await {
+            Ok(reply) => match reply.status {
+                StatusCode::ACCEPTED => Handover::Taken,
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if reply.declined => {
+                    Handover::Ended(Outcome::Full, reply.report)
+                }
+                _ => Handover::Ended(Outcome::Error, reply.report),
+            },
+            Err(Fault::Unsent) => Handover::Ended(Outcome::ConnectFailed, None),
+            Err(Fault::Broken) => Handover::Ended(Outcome::Reset, None),
+            Err(Fault::Overdue) => Handover::Ended(Outcome::Timeout, None),
+        }
+    }
+
+    /// Tells a worker that a job is not wanted any more, again and again until it knows or `until` has passed.
+    pub async fn abandon(&self, addr: SocketAddr, id: &str, until: Instant) {
+        while Instant::now() < until && self.call(addr, || wire::abandon(id), until).await.is_err() {
+            sleep_until(until.min(Instant::now() + ABANDON_AGAIN)).await;
+        }
+    }
+
+    /// Asks a worker for its load.
+    pub async fn probe(&self, addr: SocketAddr, until: Instant) -> (Outcome, Option<Report>) {
+        match self.call(addr, wire::probe, until).await {
+            Ok(reply) => {
+                let text = std::str::from_utf8(&reply.body).unwrap_or("");
+                let figures = wire::load(text).filter(|_| reply.status == StatusCode::OK);
+                let report = figures.map(|f| self.reports.report(f)).or(reply.report);
+                let outcome = match reply.status {
+                    StatusCode::OK => Outcome::Ok,
+                    StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
+                    _ => Outcome::Error,
+                };
+                (outcome, report)
+            }
+            Err(Fault::Unsent) => (Outcome::ConnectFailed, None),
+            Err(Fault::Broken) => (Outcome::Reset, None),
+            Err(Fault::Overdue) => (Outcome::Timeout, None),
+        }
+    }
+
+    /// One exchange over an idle connection or a new one.
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        request: impl Fn() -> Option<Request<Body>>,
+        until: Instant,
+    ) -> Result<Reply, Fault> {
+        let mut connection = loop {
+            match self.take_idle(addr) {
+                // The worker may have closed it just now: one that is still good says so at once.
+                Some(mut idle) => {
+                    if let Ok(Ok(())) = timeout_at(until, idle.sender.ready()).await {
+                        break idle;
+                    }
+                }
+                None => {
+                    let until = until.min(Instant::now() + self.connect_wait);
+                    let permit = self.permit(until).await?;
+                    break connect(addr, until, Some(permit)).await?;
+                }
+            }
+        };
+        let request = request().ok_or(Fault::Unsent)?;
+        let (status, headers, body) = connection.exchange(request, until, wire::MAX_BODY).await?;
+        self.put_idle(addr, connection);
+        Ok(wire::reply(status, &headers, body, self.reports))
+    }
+
+    /// A new connection's share of the budget; at the limit, the connection that has been idle longest makes room.
+    async fn permit(&self, until: Instant) -> Result<OwnedSemaphorePermit, Fault> {
+        if self.budget.available_permits() == 0 {
+            self.close_longest_idle();
+        }
+        let permit = timeout_at(until, self.budget.clone().acquire_owned()).await;
+        permit.ok().and_then(Result::ok).ok_or(Fault::Unsent)
+    }
+
+    fn close_longest_idle(&self) {
+        let mut idle = lock(&self.idle);
+        let oldest = idle.iter().filter_map(|(addr, list)| Some((list.first()?.since, *addr))).min();
+        if let Some(list) = oldest.and_then(|(_, addr)| idle.get_mut(&addr)) {
+            list.remove(0);
+        }
+    }
+
+    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+        let mut idle = lock(&self.idle);
+        let fresh = idle.get_mut(&addr)?.pop()?;
+        (fresh.since.elapsed() < self.keep && !fresh.connection.sender.is_closed())
+            .then_some(fresh.connection)
+    }
+
+    fn put_idle(&self, addr: SocketAddr, connection: Connection) {
+        if !connection.sender.is_closed() {
+            lock(&self.idle).entry(addr).or_default().push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn sweep(&self) {
+        lock(&self.idle).retain(|_, list| {
+            list.retain(|i| i.since.elapsed() < self.keep && !i.connection.sender.is_closed());
+            !list.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to a worker.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        lock(&self.idle).remove(&addr);
+    }
+}
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -2,6 +2,7 @@
 use crate::wire;
 use oatdock as od;
 use oatdock::{Action, Dispatcher, Event, Outcome};
+use settings::{Deployment, Figures, Reports};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -16,8 +17,7 @@
 struct Instance {
     dispatcher: Dispatcher,
     classes: u32,
-    has_free_slots: bool,
-    has_free_memory: bool,
+    reports: Reports,
 }
 
 impl Host {
@@ -52,15 +52,12 @@
         let data;
         let (who, event) = match event {
             wire::Event::Configure { who, salt, options } => {
-                let (has_free_slots, has_free_memory) = (
-                    options.family_info.report_x0.as_deref() == Some("free slots"),
-                    options.family_info.report_x1.as_deref() == Some("free memory"),
-                );
-                let settings = settings(*options).map_err(|why| format!("CONFIGURE of {who}: {why}"))?;
-                let classes = settings.classes.len() as u32;
+                let Deployment { settings, names, reports, .. } =
+                    Deployment::read(*options).map_err(|why| format!("CONFIGURE of {who}: {why}"))?;
+                let classes = names.classes.len() as u32;
                 let dispatcher =
                     Dispatcher::new(settings, salt).map_err(|why| format!("CONFIGURE of {who}: {why}"))?;
-                self.instances.insert(who, Instance { dispatcher, classes, has_free_slots, has_free_memory });
+                self.instances.insert(who, Instance { dispatcher, classes, reports });
                 return Ok((who, None));
             }
             wire::Event::Shutdown(e) => {
@@ -154,17 +151,9 @@
         Ok((who, fault))
     }
 
-    fn report(&self, who: u32, t: Option<wire::Telemetry>) -> Option<od::Report> {
+    fn report(&self, who: u32, figures: Option<Figures>) -> Option<od::Report> {
         let instance = self.instances.get(&who)?;
-        t.map(|t| od::Report {
-            free_slots: t.x0.filter(|_| instance.has_free_slots),
-            free_memory: t.x1.filter(|_| instance.has_free_memory),
-            utilization: t.utilization,
-            outstanding: t.outstanding,
-            backlog: t.backlog,
-            latency_ms: t.recent_ms,
-            errors_per_s: t.errors_per_s,
-        })
+        figures.map(|f| instance.reports.report(f))
     }
 }
 
@@ -218,97 +207,6 @@
     pairs.map(|p| Some(digit(p[0])? << 4 | digit(*p.get(1)?)?)).collect()
 }
 
-fn settings(o: wire::Options) -> Result<od::Settings, String> {
-    let info = o.family_info;
-    let by_priority = info.queue_order.as_deref() == Some("priority");
-    let mut classes = Vec::with_capacity(o.grades.len());
-    for (i, g) in o.grades.iter().enumerate() {
-        let effect = match g.effect.as_str() {
-            "idempotent" => od::Effect::Safe,
-            "at_most_once" => od::Effect::Unsafe,
-            "deduplicated" => od::Effect::Keyed {
-                scope: match g.dedup_scope.as_deref() {
-                    Some("all") | None => od::Scope::All,
-                    Some("zone") => od::Scope::Zone,
-                    Some("cell") => od::Scope::Cell,
-                    Some(other) => {
-                        return Err(format!("field grades[{i}].dedupScope: unknown scope `{other}`"));
-                    }
-                },
-                ttl: g.key_ttl.unwrap_or(0),
-            },
-            other => return Err(format!("field grades[{i}].effect: unknown effect `{other}`")),
-        };
-        classes.push(od::Class {
-            aim: g.aim,
-            stretch: g.aim_stretch.or(info.class_stretch.get(i).copied()).unwrap_or(0.0),
-            deadline: g.deadline,
-            worth: g.value.unwrap_or(1.0),
-            late_share: g.late_share.unwrap_or(0.0),
-            effect,
-            streaming: g.streaming,
-            kind: info.class_kind.get(i).and_then(|k| u32::try_from(*k).ok()),
-            priority: info.class_priority.get(i).copied().filter(|_| by_priority).unwrap_or(0),
-        });
-    }
-    let must_ask = match o.discovery.as_deref() {
-        Some("automatic") | None => false,
-        Some("subscribe") => true,
-        Some(other) => return Err(format!("field discovery: unknown mode `{other}`")),
-    };
-    let reports = match o.report.via.as_deref() {
-        Some("answers") => od::ReportVia::Answers,
-        Some("probe") => od::ReportVia::Probe,
-        Some("none") | None => od::ReportVia::None,
-        Some(other) => return Err(format!("field report.via: unknown value `{other}`")),
-    };
-    let (l, p, r) = (o.limits, o.prices, o.rules);
-    Ok(od::Settings {
-        me: o.me,
-        instances: o.n_instances.unwrap_or(1),
-        zone: o.az,
-        kinds: o.kinds.len() as u32,
-        tick: o.round.unwrap_or(1_000_000),
-        classes,
-        tenants: o.tenants.iter().map(|t| od::Tenant { quota_per_s: t.quota_per_s.unwrap_or(0.0) }).collect(),
-        over_share_worth: o.over_share_worth.unwrap_or(1.0),
-        must_ask,
-        limits: od::Limits {
-            attempts: l.max_attempts.unwrap_or(1),
-            cancel: l.cancel,
-            probes: l.probes,
-            peers: l.peer_messages,
-            second_copies: l.second_copies,
-            retry_after: l.retry_after,
-            max_retry_after: l.max_retry_after,
-            connect_timeout: l.connect_timeout,
-            conn_idle: l.conn_idle,
-            streams_per_conn: l.streams_per_conn.unwrap_or(1),
-        },
-        prices: od::Prices {
-            cross_zone: p.cross_zone,
-            waste: p.waste,
-            connection: p.connection,
-            handshake: p.handshake,
-            origin: p.origin,
-            probe: p.probe,
-            peer: p.peer,
-            late_fail: p.late_fail,
-        },
-        reports,
-        rules: od::Rules {
-            ask_every: r.ask_every,
-            cold: r.cold,
-            cold_from: r.cold_from.unwrap_or(1.0),
-            drain_grace: r.drain_grace,
-            tip_after: r.tip_after,
-            tip_multiple: r.tip_multiple.unwrap_or(1.0),
-        },
-        progress: info.progress,
-        tells_start: info.tells_start,
-    })
-}
-
 fn write_action(who: u32, action: &Action, to: &mut Vec<u8>) {
     let quoted = |text: &str| serde_json::to_string(text).unwrap_or_default();
     // Writing into a Vec cannot fail.
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The wire's messages as they are read. Unknown fields are skipped, absent ones get their documented meaning.
 use serde::Deserialize;
+use settings::{Figures, Options};
 use std::borrow::Cow;
 
 #[derive(Deserialize)]
@@ -116,7 +117,7 @@
     #[serde(default)]
     pub lag: Option<u64>,
     #[serde(default)]
-    pub telemetry: Option<Telemetry>,
+    pub telemetry: Option<Figures>,
 }
 
 #[derive(Deserialize)]
@@ -142,7 +143,7 @@
     #[serde(borrow)]
     pub worker: Cow<'a, str>,
     #[serde(default)]
-    pub telemetry: Option<Telemetry>,
+    pub telemetry: Option<Figures>,
 }
 
 #[derive(Deserialize)]
@@ -162,127 +163,3 @@
     pub what: u32,
     pub level: Option<f64>,
 }
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Telemetry {
-    pub utilization: Option<f64>,
-    pub errors_per_s: Option<f64>,
-    pub outstanding: Option<f64>,
-    pub backlog: Option<f64>,
-    pub recent_ms: Option<f64>,
-    pub x0: Option<f64>,
-    pub x1: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Options {
-    #[serde(default)]
-    pub az: u32,
-    #[serde(default)]
-    pub discovery: Option<String>,
-    #[serde(default)]
-    pub family_info: FamilyInfo,
-    pub grades: Vec<Grade>,
-    #[serde(default)]
-    pub kinds: Vec<String>,
-    #[serde(default)]
-    pub limits: Limits,
-    #[serde(default)]
-    pub me: u32,
-    #[serde(default)]
-    pub n_instances: Option<u32>,
-    #[serde(default)]
-    pub over_share_worth: Option<f64>,
-    #[serde(default)]
-    pub prices: Prices,
-    #[serde(default)]
-    pub report: Report,
-    #[serde(default)]
-    pub round: Option<u64>,
-    #[serde(default)]
-    pub rules: Rules,
-    #[serde(default)]
-    pub tenants: Vec<Tenant>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct FamilyInfo {
-    pub class_kind: Vec<i64>,
-    pub class_priority: Vec<i32>,
-    pub class_stretch: Vec<f64>,
-    pub progress: u64,
-    pub queue_order: Option<String>,
-    pub report_x0: Option<String>,
-    pub report_x1: Option<String>,
-    pub tells_start: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Grade {
-    pub aim: u64,
-    pub deadline: u64,
-    pub aim_stretch: Option<f64>,
-    pub effect: String,
-    pub dedup_scope: Option<String>,
-    pub key_ttl: Option<u64>,
-    pub late_share: Option<f64>,
-    #[serde(default)]
-    pub streaming: bool,
-    pub value: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct Limits {
-    pub cancel: bool,
-    pub conn_idle: u64,
-    pub connect_timeout: u64,
-    pub max_attempts: Option<u32>,
-    pub max_retry_after: u64,
-    pub peer_messages: bool,
-    pub probes: bool,
-    pub retry_after: bool,
-    pub second_copies: bool,
-    pub streams_per_conn: Option<u32>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct Prices {
-    pub connection: f64,
-    pub cross_zone: f64,
-    pub handshake: f64,
-    pub late_fail: f64,
-    pub origin: f64,
-    pub peer: f64,
-    pub probe: f64,
-    pub waste: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Report {
-    pub fields: Vec<String>,
-    pub via: Option<String>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub struct Rules {
-    pub ask_every: u64,
-    pub cold: u64,
-    pub cold_from: Option<f64>,
-    pub drain_grace: u64,
-    pub tip_after: u64,
-    pub tip_multiple: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Tenant {
-    pub quota_per_s: Option<f64>,
-}
