Test the running program over sockets, and name the faulty configuration key

The one on a client that left first failed: the client went before the 202 had been read, which rightly closes the connection and sends no DELETE; the test now waits for the 202 to have been read.

Also: faulty settings are named by the key as the file writes it (settings/src/lib.rs, BadField), not by the module's word for it.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs, reason = "the fields are documented on the operators' page, under the same names")]
 use oatdock as od;
 use serde::Deserialize;
+use std::fmt;
 
 /// A deployment's settings, checked and translated.
 pub struct Deployment {
@@ -67,12 +68,46 @@
     pub x1: Option<f64>,
 }
 
+/// A field that holds what no deployment can mean.
+#[derive(Debug)]
+pub struct BadField {
+    pub field: String,
+    pub why: String,
+}
+
+impl BadField {
+    fn new(field: impl Into<String>, why: impl Into<String>) -> Self {
+        BadField { field: field.into(), why: why.into() }
+    }
+}
+
+impl fmt::Display for BadField {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "field {}: {}", self.field, self.why)
+    }
+}
+
+impl std::error::Error for BadField {}
+
+impl From<od::SettingsError> for BadField {
+    /// The settings object's name for what the module turned down.
+    fn from(error: od::SettingsError) -> Self {
+        let field = match error.setting {
+            "classes" => "grades",
+            "classes.kind" => "familyInfo.classKind",
+            "instances" => "nInstances",
+            same => same,
+        };
+        BadField::new(field, error.reason)
+    }
+}
+
 impl Deployment {
     /// Translates the settings object.
     ///
     /// # Errors
     /// If a field holds what no deployment can mean; the text names the field.
-    pub fn read(options: Options) -> Result<Self, String> {
+    pub fn read(options: Options) -> Result<Self, BadField> {
         let settings = translate(&options)?;
         let reports = Reports {
             free_slots: options.family_info.report_x0.as_deref() == Some("free slots"),
@@ -88,7 +123,7 @@
     }
 }
 
-fn translate(o: &Options) -> Result<od::Settings, String> {
+fn translate(o: &Options) -> Result<od::Settings, BadField> {
     let info = &o.family_info;
     let by_priority = info.queue_order.as_deref() == Some("priority");
     let mut classes = Vec::with_capacity(o.grades.len());
@@ -102,12 +137,20 @@
                     Some("zone") => od::Scope::Zone,
                     Some("cell") => od::Scope::Cell,
                     Some(other) => {
-                        return Err(format!("field grades[{i}].dedupScope: unknown scope `{other}`"));
+                        return Err(BadField::new(
+                            format!("grades[{i}].dedupScope"),
+                            format!("unknown scope `{other}`"),
+                        ));
                     }
                 },
                 ttl: g.key_ttl.unwrap_or(0),
             },
-            other => return Err(format!("field grades[{i}].effect: unknown effect `{other}`")),
+            other => {
+                return Err(BadField::new(
+                    format!("grades[{i}].effect"),
+                    format!("unknown effect `{other}`"),
+                ));
+            }
         };
         classes.push(od::Class {
             aim: g.aim,
@@ -124,13 +167,13 @@
     let must_ask = match o.discovery.as_deref() {
         Some("automatic") | None => false,
         Some("subscribe") => true,
-        Some(other) => return Err(format!("field discovery: unknown mode `{other}`")),
+        Some(other) => return Err(BadField::new("discovery", format!("unknown mode `{other}`"))),
     };
     let reports = match o.report.via.as_deref() {
         Some("answers") => od::ReportVia::Answers,
         Some("probe") => od::ReportVia::Probe,
         Some("none") | None => od::ReportVia::None,
-        Some(other) => return Err(format!("field report.via: unknown value `{other}`")),
+        Some(other) => return Err(BadField::new("report.via", format!("unknown value `{other}`"))),
     };
     let (l, p, r) = (&o.limits, &o.prices, &o.rules);
     Ok(od::Settings {
--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -3,7 +3,7 @@
 use crate::net::wire;
 use oatdock::{Dispatcher, Nanos};
 use serde::Deserialize;
-use settings::{Deployment, Options};
+use settings::{BadField, Deployment, Options};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -95,11 +95,11 @@
 
     fn parse(text: &[u8]) -> Result<Self, ConfigError> {
         let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))
-            .map_err(|e| ConfigError::new(e.path().to_string(), e.inner()))?;
-        let mut deployment = Deployment::read(file.settings).map_err(|e| ConfigError::new("settings", e))?;
+            .map_err(|e| ConfigError::new(path(e.path()), e.inner()))?;
+        let bad = |e: BadField| ConfigError::new(format!("settings.{}", e.field), e.why);
+        let mut deployment = Deployment::read(file.settings).map_err(bad)?;
         // The module turns down what makes no sense; ask it now, so that `check` finds it too.
-        Dispatcher::new(deployment.settings.clone(), 0)
-            .map_err(|e| ConfigError::new(format!("settings.{}", e.setting), e.reason))?;
+        Dispatcher::new(deployment.settings.clone(), 0).map_err(|e| bad(e.into()))?;
         if deployment.settings.limits.connect_timeout == 0 {
             deployment.settings.limits.connect_timeout = 250_000_000;
         }
@@ -134,6 +134,12 @@
     }
 }
 
+/// A faulty key's path; what is wrong with the file as a whole is put down to the variable that names it.
+fn path(path: &serde_path_to_error::Path) -> String {
+    let text = path.to_string();
+    if text == "." || text == "?" { "ROUTER_CONFIG".to_owned() } else { text }
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
--- /dev/null
+++ b/spanlead/tests/command.rs
@@ -0,0 +1,54 @@
+//! The command line and the messages on bad configuration.
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod harness;
+
+use harness::{config, nobody, run};
+use insta::assert_snapshot;
+
+#[test]
+fn version_and_check_say_what_they_know() {
+    let good = config(([127, 0, 0, 1], 8500).into(), "", "");
+    assert_snapshot!(String::from_utf8_lossy(&run("version", "").stdout), @"spanlead 0.1.0");
+    assert_snapshot!(String::from_utf8_lossy(&run("check", &good).stdout), @r"
+    name       n0
+    listen     127.0.0.1:0
+    discovery  127.0.0.1:8500
+    workers    0 known
+    classes    status-check, guest-visit, once
+    tenants    kraftverket, norrtrim
+    zones      solna, kista
+    kinds      std-2c
+    sockets    128
+    ");
+}
+
+// Guards against configuration that fails late or in riddles: one line that names the key, and a bad exit.
+#[test]
+fn bad_configuration_names_its_key() {
+    let good = config(nobody(), "", "");
+    let cases = [
+        "{".to_owned(),
+        good.replace(r#""effect":"idempotent""#, r#""effect":"sometimes""#),
+        good.replace(r#""aim":300000000,"deadline":7500000000,"effect":"at"#, r#""aim":-1,"effect":"at"#),
+        good.replace(r#""nInstances":1"#, r#""nInstances":0"#),
+        good.replace(r#""sockets":128"#, r#""sockets":8"#),
+        good.replace("8c1f30d27a5be964", "seed"),
+        good.replace(r#""settings":"#, r#""other":"#),
+        good.replace(r#""seq":41"#, r#""seq":"x""#),
+    ];
+    let lines = cases.map(|text| {
+        let output = run("serve", &text);
+        assert!(!output.status.success());
+        String::from_utf8(output.stderr).expect("text")
+    });
+    assert_snapshot!(lines.concat(), @r#"
+    spanlead: configuration key `ROUTER_CONFIG`: EOF while parsing an object at line 1 column 1
+    spanlead: configuration key `settings.grades[0].effect`: unknown effect `sometimes`
+    spanlead: configuration key `settings.grades[2].aim`: invalid value: integer `-1`, expected u64 at line 4 column 305
+    spanlead: configuration key `settings.nInstances`: does not cover this dispatcher's number
+    spanlead: configuration key `limits.sockets`: must be at least 128
+    spanlead: configuration key `seed`: invalid digit found in string
+    spanlead: configuration key `ROUTER_CONFIG`: missing field `settings` at line 8 column 73
+    spanlead: configuration key `known.seq`: invalid type: string "x", expected u64 at line 3 column 18
+    "#);
+}
--- /dev/null
+++ b/spanlead/tests/harness/mod.rs
@@ -0,0 +1,256 @@
+//! The scheduler as a process, and the clients, workers and discovery that speak to it. Everything waits for events;
+//! [`PATIENCE`] only ends a test that would hang.
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A message as it stood on the socket.
+#[derive(Debug)]
+pub struct Message {
+    pub start: String,
+    headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Message {
+    /// Reads one message; `None` when the connection ended first.
+    fn read(from: &mut impl BufRead) -> Option<Self> {
+        let mut line = || {
+            let mut text = String::new();
+            from.read_line(&mut text).ok().filter(|n| *n > 0)?;
+            Some(text.trim_end().to_owned())
+        };
+        let start = line()?;
+        let mut headers = Vec::new();
+        while let Some((name, value)) = line()?.split_once(':') {
+            headers.push((name.to_lowercase(), value.trim().to_owned()));
+        }
+        let mut message = Message { start, headers, body: String::new() };
+        let mut body = vec![0; message.header("content-length").map_or(0, |n| n.parse().expect("a length"))];
+        from.read_exact(&mut body).ok()?;
+        message.body = String::from_utf8(body).expect("text");
+        Some(message)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// The message without what differs from run to run.
+    pub fn show(&self) -> String {
+        let shown = self.headers.iter().filter(|(n, _)| n != "date");
+        let headers: Vec<_> = shown.map(|(n, v)| format!("{n}: {v}\n")).collect();
+        format!("{}\n{}\n{}", self.start, headers.concat(), self.body)
+    }
+}
+
+/// A request that the scheduler made, to be answered or not.
+pub struct Call {
+    pub message: Message,
+    pub stream: TcpStream,
+}
+
+impl Call {
+    pub fn reply(mut self, status: &str, headers: &str, body: &str) {
+        let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+        self.stream.write_all(text.as_bytes()).expect("the scheduler reads");
+    }
+
+    /// Breaks the connection.
+    pub fn hang_up(self) {
+        self.stream.shutdown(std::net::Shutdown::Both).expect("open");
+    }
+}
+
+/// A worker or discovery: hands each request that it reads to the test.
+pub struct Server {
+    pub addr: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+impl Server {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        let (to, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let to = to.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                    while let Some(message) = Message::read(&mut reader) {
+                        let stream = stream.try_clone().expect("a third handle");
+                        if to.send(Call { message, stream }).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Server { addr, calls }
+    }
+
+    /// The next request.
+    pub fn next(&self) -> Call {
+        self.calls.recv_timeout(PATIENCE).expect("the scheduler calls")
+    }
+
+    /// The next request, if it is there already.
+    pub fn try_next(&self) -> Option<Call> {
+        self.calls.recv_timeout(Duration::from_millis(1)).ok()
+    }
+
+    /// Whether the scheduler has asked nothing so far.
+    pub fn unasked(&self) -> bool {
+        self.try_next().is_none()
+    }
+
+    /// As an entry of the list.
+    pub fn entry(&self, name: &str, health: &str) -> String {
+        format!(
+            r#"{{"host":"{name}","dial":"{}","site":"solna","class":"std-2c","block":0,"health":"{health}","share":1.0,"born_ms":0,"novel":1}}"#,
+            self.addr
+        )
+    }
+}
+
+/// An address that refuses connections.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// A connection to the scheduler.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn write(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("the scheduler reads");
+    }
+
+    pub fn post(&mut self, path: &str, headers: &str, body: &str) {
+        self.write(&format!(
+            "POST {path} HTTP/1.1\r\nHost: backend.local\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        ));
+    }
+
+    /// Submits a job with good headers.
+    pub fn job(&mut self, class: &str, id: &str, deadline_ms: u64) {
+        let headers = format!(
+            "Req-Id: {id}\r\nReq-Owner: norrtrim\r\nReq-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: k-{id}\r\n"
+        );
+        self.post(&format!("/{class}/x?y=1"), &headers, "payload");
+    }
+
+    /// Tells of a job as a worker would; the answer's status line.
+    pub fn notice(&mut self, id: &str, from: &str, rest: &str) -> String {
+        self.post("/callback", "", &format!(r#"{{"id":"{id}","from":"{from}",{rest},"novel":1}}"#));
+        self.answer().start
+    }
+
+    pub fn answer(&mut self) -> Message {
+        Message::read(&mut self.0).expect("an answer")
+    }
+
+    /// Whether the scheduler has closed the connection, once it has.
+    pub fn closed(&mut self) -> bool {
+        Message::read(&mut self.0).is_none()
+    }
+}
+
+/// A running scheduler.
+pub struct Scheduler {
+    child: Child,
+    pub addr: SocketAddr,
+}
+
+impl Scheduler {
+    /// Starts one that knows these list entries.
+    pub fn start(discovery: SocketAddr, known: &[String], extra: &str) -> Self {
+        let text = config(discovery, &known.join(","), extra);
+        let mut child = command("serve", &text).stderr(Stdio::piped()).spawn().expect("it starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let addr = loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it listened");
+            if let Some((_, addr)) = line.trim_end().split_once("address=") {
+                break addr.parse().expect("an address");
+            }
+        };
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Scheduler { child, addr }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        Client(BufReader::new(stream))
+    }
+
+    /// The status line of the health check.
+    pub fn health(&self) -> String {
+        let mut client = self.client();
+        client.write("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+        client.answer().start
+    }
+
+    pub fn terminate(&self) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs a sub-command to its end on this configuration file.
+pub fn run(subcommand: &str, config: &str) -> Output {
+    command(subcommand, config).output().expect("it starts")
+}
+
+fn command(subcommand: &str, config: &str) -> Command {
+    // One file for each test: the threads of a test run are named after the tests.
+    let name = thread::current().name().unwrap_or("test").replace("::", "-");
+    let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, config).expect("a writable folder");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_spanlead"));
+    command.arg(subcommand).env_remove("ROUTER_NAME").env_remove("ROUTER_DISCOVERY");
+    command.env("ROUTER_CONFIG", path).env("ROUTER_LISTEN", "127.0.0.1:0");
+    command
+}
+
+/// A configuration: `status-check` is safe to repeat, `guest-visit` within a cell, `once` never.
+pub fn config(discovery: SocketAddr, known: &str, extra: &str) -> String {
+    let grade = |name: &str, effect: &str| {
+        format!(r#"{{"name":"{name}","aim":300000000,"deadline":7500000000,"effect":{effect}}}"#)
+    };
+    let grades = [
+        grade("status-check", r#""idempotent""#),
+        grade("guest-visit", r#""deduplicated","dedupScope":"cell","keyTtl":25000000000"#),
+        grade("once", r#""at_most_once""#),
+    ];
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","novel":1,
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":128}},
+"known":{{"seq":41,"whole":true,"hosts":[{known}]}},
+"settings":{{"az":0,"azs":["solna","kista"],"kinds":["std-2c"],"grades":[{}],"discovery":"subscribe",
+"tenants":[{{"name":"kraftverket"}},{{"name":"norrtrim"}}],"me":0,"nInstances":1,
+"limits":{{"cancel":true,"connIdle":10000000000,"connectTimeout":250000000,"maxAttempts":6,"retryAfter":true,
+"maxRetryAfter":2000000000,"streamsPerConn":1}},
+"rules":{{"askEvery":10000000000,"drainGrace":750000000}},"round":2000000}}{extra}}}"#,
+        grades.join(",")
+    )
+}
--- /dev/null
+++ b/spanlead/tests/serve.rs
@@ -0,0 +1,313 @@
+//! The scheduler as its clients, its workers and discovery meet it, one test for each thing that can go wrong.
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod harness;
+
+use harness::{Call, Scheduler, Server, nobody};
+use insta::assert_snapshot;
+
+/// A scheduler that knows one worker, `s-a`.
+fn with_worker() -> (Scheduler, Server, Server) {
+    let (discovery, worker) = (Server::start(), Server::start());
+    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], "");
+    (scheduler, worker, discovery)
+}
+
+fn take(call: Call) {
+    call.reply("202 Accepted", "", "");
+}
+
+// Guards the passage of a job: what a worker needs goes on unchanged, and its result comes back whole.
+#[test]
+fn a_job_is_handed_over_and_its_result_handed_back() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    client.job("status-check", "id-1", 5000);
+    let call = worker.next();
+    let left = call.message.header("req-deadline-ms").expect("a deadline").to_owned();
+    assert!((1..=5000).contains(&left.parse::<u64>().expect("whole milliseconds")));
+    assert_snapshot!(call.message.show().replace(&left, "LEFT"), @r"
+    POST /status-check/x?y=1 HTTP/1.1
+    host: backend.local
+    req-id: id-1
+    req-deadline-ms: LEFT
+    idempotency-key: k-id-1
+    content-length: 7
+
+    payload
+    ");
+    take(call);
+    notices.notice("id-1", "s-a", r#""state":"started""#);
+    notices.notice("id-1", "s-a", r#""state":"done","result":"a \"result\"","load":{"x0":1}"#);
+    assert_snapshot!(client.answer().show(), @r#"
+    HTTP/1.1 200 OK
+    content-length: 10
+
+    a "result"
+    "#);
+}
+
+// Guards the matching of notices: they overtake the 202, repeat, come late or for another's job, and are malformed.
+#[test]
+fn only_a_notice_that_matches_changes_anything() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    client.job("status-check", "id-1", 10_000);
+    let call = worker.next();
+    let ok = "HTTP/1.1 200 OK";
+    assert_eq!(notices.notice("id-1", "s-other", r#""state":"done","result":"wrong worker""#), ok);
+    assert_eq!(notices.notice("id-2", "s-a", r#""state":"done","result":"wrong job""#), ok);
+    assert_eq!(notices.notice("id-1", "s-a", r#""state":"done","result":"right""#), ok);
+    assert_eq!(notices.notice("id-1", "s-a", r#""state":"done","result":"again""#), ok);
+    assert_eq!(notices.notice("id-1", "s-a", r#""state":"failed""#), ok);
+    take(call);
+    assert_eq!(client.answer().body, "right");
+    assert_eq!(notices.notice("id-1", "s-a", r#""state":"strange""#), "HTTP/1.1 400 Bad Request");
+    notices.post("/callback", "", "{");
+    assert_eq!(notices.answer().start, "HTTP/1.1 400 Bad Request");
+}
+
+// Guards against bad input: it is turned down in words, never forwarded, and the scheduler goes on.
+#[test]
+fn bad_input_is_answered_and_goes_no_further() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let good = "Req-Id: a\r\nReq-Owner: norrtrim\r\nReq-Deadline-Ms: 5000\r\n";
+    let large = "x".repeat(64 * 1024 + 1);
+    let cases = [
+        ("/unknown", good.to_owned(), ""),
+        ("/status-check", good.replace("Req-Id: a\r\n", ""), ""),
+        ("/status-check", good.replace(": a\r", ": a/../b\r"), ""),
+        ("/status-check", good.replace("norrtrim", "nobody"), ""),
+        ("/status-check", good.replace("Req-Owner: norrtrim\r\n", ""), ""),
+        ("/status-check", good.replace("5000", "soon"), ""),
+        ("/status-check", good.replace("5000", "-1"), ""),
+        ("/status-check", good.replace("5000", "99999999999999999999"), ""),
+        ("/status-check", good.replace("5000", "18446744073709551615"), ""),
+        ("/status-check", good.replace("Req-Deadline-Ms: 5000\r\n", ""), ""),
+        ("/status-check", good.to_owned(), large.as_str()),
+    ];
+    let answers = cases.map(|(path, headers, body)| {
+        let mut client = scheduler.client();
+        client.post(path, &headers, body);
+        let answer = client.answer();
+        format!("{} {}", &answer.start[9..12], answer.body)
+    });
+    assert_snapshot!(answers.concat(), @r"
+    404 unknown class
+    400 Req-Id is missing
+    400 Req-Id is not a plain word
+    400 Req-Owner is unknown
+    400 Req-Owner is missing
+    400 Req-Deadline-Ms is not a whole number
+    400 Req-Deadline-Ms is not a whole number
+    400 Req-Deadline-Ms is not a whole number
+    400 Req-Deadline-Ms is too far away
+    400 Req-Deadline-Ms is missing
+    413 the body is too large
+    ");
+    let mut client = scheduler.client();
+    client.write("GET /status-check HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+    assert_eq!(client.answer().start, "HTTP/1.1 405 Method Not Allowed");
+    assert!(worker.unasked());
+    assert_eq!(scheduler.health(), "HTTP/1.1 200 OK");
+}
+
+// Guards against a body that never ends: it holds its connection no longer than its deadline.
+#[test]
+fn a_body_that_stalls_is_given_up_at_its_deadline() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let mut client = scheduler.client();
+    client.write("POST /status-check HTTP/1.1\r\nHost: h\r\nReq-Id: a\r\nReq-Owner: norrtrim\r\nReq-Deadline-Ms: 100\r\nContent-Length: 9\r\n\r\nhalf");
+    assert_eq!(client.answer().start, "HTTP/1.1 408 Request Timeout");
+    assert!(worker.unasked());
+}
+
+// Guards against two attempts under one id: a second request with the id of one still open is not taken.
+#[test]
+fn an_id_that_is_open_is_not_taken_twice() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut first, mut second) = (scheduler.client(), scheduler.client());
+    first.job("status-check", "id-1", 10_000);
+    take(worker.next());
+    second.job("status-check", "id-1", 10_000);
+    assert_eq!(second.answer().start, "HTTP/1.1 409 Conflict");
+    scheduler.client().notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(first.answer().body, "r");
+    assert!(worker.unasked());
+}
+
+// Guards the end of a request whose worker has gone silent: an answer by its deadline, and the job called off.
+#[test]
+fn a_silent_worker_is_given_up_at_the_deadline() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let mut client = scheduler.client();
+    client.job("guest-visit", "id-1", 300);
+    take(worker.next());
+    assert_eq!(client.answer().start, "HTTP/1.1 502 Bad Gateway");
+    let call = worker.next();
+    assert_eq!(call.message.start, "DELETE /jobs/id-1 HTTP/1.1");
+    // Unheard, it is said again.
+    call.hang_up();
+    assert_eq!(worker.next().message.start, "DELETE /jobs/id-1 HTTP/1.1");
+}
+
+// Guards against work for nobody: when the client leaves, the worker is told.
+#[test]
+fn a_job_whose_client_left_is_called_off() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 10_000);
+    take(worker.next());
+    // Before the 202 closing the connection would do; this answer shows that it has been read.
+    scheduler.client().notice("id-1", "s-a", r#""state":"started""#);
+    drop(client);
+    assert_eq!(worker.next().message.start, "DELETE /jobs/id-1 HTTP/1.1");
+}
+
+// Guards the repeat of what surely never ran, whatever the class: refused connections, declined and returned jobs.
+#[test]
+fn what_never_ran_goes_to_another_worker() {
+    let (discovery, worker, other) = (Server::start(), Server::start(), Server::start());
+    let known = [worker.entry("s-a", "active"), other.entry("s-b", "active"), worker.entry("s-c", "active")];
+    let known = [&known[0], &known[1], &known[2].replace(&worker.addr.to_string(), &nobody().to_string())];
+    let scheduler = Scheduler::start(discovery.addr, &known.map(String::clone), "");
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    client.job("once", "id-1", 10_000);
+    let servers = [("s-a", &worker), ("s-b", &other)];
+    let asked = || loop {
+        if let Some(found) = servers.iter().find_map(|(name, s)| Some((*name, s.try_next()?))) {
+            return found;
+        }
+    };
+    let (first, call) = asked();
+    call.reply("503 Service Unavailable", "Srv-Declined: 1\r\nSrv-Load: TEXT x0=0, util=0.9\r\n", "");
+    let (second, call) = asked();
+    assert_ne!(first, second);
+    take(call);
+    notices.notice("id-1", second, r#""state":"returned""#);
+    // All three have been tried: nothing ran, so it is refused, with advice.
+    assert_snapshot!(client.answer().show(), @r"
+    HTTP/1.1 503 Service Unavailable
+    retry-after: 0.300
+    content-length: 8
+
+    no room
+    ");
+}
+
+// Guards against doing a thing twice: once the whole request is written, a break proves nothing.
+#[test]
+fn what_may_have_run_is_not_repeated() {
+    let (discovery, worker, other) = (Server::start(), Server::start(), Server::start());
+    let known = [worker.entry("s-a", "active"), other.entry("s-b", "active")];
+    let scheduler = Scheduler::start(discovery.addr, &known, "");
+    let mut client = scheduler.client();
+    client.job("once", "id-1", 10_000);
+    let call = loop {
+        if let Some(call) = worker.try_next().or_else(|| other.try_next()) {
+            break call;
+        }
+    };
+    call.hang_up();
+    assert_eq!(client.answer().start, "HTTP/1.1 502 Bad Gateway");
+    assert!(worker.unasked() && other.unasked());
+}
+
+// Guards against connections that a worker closed while they were idle: the next job opens a new one.
+#[test]
+fn a_connection_that_the_worker_closed_is_not_used_again() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    for (id, closes) in [("id-1", true), ("id-2", false), ("id-3", false)] {
+        client.job("once", id, 10_000);
+        let call = worker.next();
+        let stream = call.stream.try_clone().expect("a handle");
+        take(call);
+        notices.notice(id, "s-a", r#""state":"done","result":"r""#);
+        assert_eq!(client.answer().start, "HTTP/1.1 200 OK");
+        if closes {
+            stream.shutdown(std::net::Shutdown::Both).expect("open");
+        }
+    }
+}
+
+// Guards the watch: it starts from the known list, goes on from each answer, starts again when a call fails, and what
+// it tells is heeded.
+#[test]
+fn the_watch_goes_on_and_what_it_tells_is_heeded() {
+    let (scheduler, worker, discovery) = with_worker();
+    let other = Server::start();
+    let list = |seq: u64, rows: &str| format!(r#"{{"seq":{seq},"whole":false,"hosts":[{rows}]}}"#);
+    let call = discovery.next();
+    assert_eq!(call.message.start, "GET /v1/servers?index=41&wait=0 HTTP/1.1");
+    call.reply("200 OK", "", &list(42, ""));
+    let call = discovery.next();
+    assert_eq!(call.message.start, "GET /v1/servers?index=42&wait=10000 HTTP/1.1");
+    let news = [worker.entry("s-a", "leaving"), other.entry("s-b", "active")].join(",");
+    call.reply("200 OK", "", &list(43, &news));
+    let call = discovery.next();
+    assert_eq!(call.message.start, "GET /v1/servers?index=43&wait=10000 HTTP/1.1");
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 10_000);
+    take(other.next());
+    assert!(worker.unasked());
+    call.reply("503 Service Unavailable", "", "");
+    assert_eq!(discovery.next().message.start, "GET /v1/servers?index=43&wait=0 HTTP/1.1");
+}
+
+// Guards against a discovery that vanished: a silent call ends at its deadline and another follows.
+#[test]
+fn a_silent_discovery_is_asked_again() {
+    let (_scheduler, _worker, discovery) = with_worker();
+    let silent = discovery.next();
+    assert_eq!(discovery.next().message.start, silent.message.start);
+}
+
+// Guards against readiness that is not: without a worker no request could be served.
+#[test]
+fn a_scheduler_without_workers_is_not_ready() {
+    let discovery = Server::start();
+    let scheduler = Scheduler::start(discovery.addr, &[], "");
+    assert_eq!(scheduler.health(), "HTTP/1.1 503 Service Unavailable");
+}
+
+// Guards the descriptor limit: idle connections make room for new ones, for as many as come.
+#[test]
+fn idle_connections_make_room_at_the_limit() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let _idle: Vec<_> = (0..100).map(|_| scheduler.client()).collect();
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    client.job("status-check", "id-1", 10_000);
+    take(worker.next());
+    notices.notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+}
+
+// Guards a planned restart: what is owed is answered, notices still come in, nothing else is taken for long, and the
+// process ends by itself.
+#[test]
+fn told_to_stop_it_finishes_what_it_owes() {
+    let (mut scheduler, worker, _discovery) = with_worker();
+    let (mut client, mut idle) = (scheduler.client(), scheduler.client());
+    client.job("status-check", "id-1", 10_000);
+    take(worker.next());
+    scheduler.terminate();
+    // The idle connection closes only when new requests have stopped being taken.
+    assert!(idle.closed());
+    assert_eq!(scheduler.health(), "HTTP/1.1 503 Service Unavailable");
+    let mut late = scheduler.client();
+    late.job("status-check", "id-2", 10_000);
+    assert_snapshot!(late.answer().show(), @r"
+    HTTP/1.1 503 Service Unavailable
+    retry-after: 0.300
+    connection: close
+    content-length: 8
+
+    no room
+    ");
+    assert!(late.closed());
+    scheduler.client().notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    let answer = client.answer();
+    assert_eq!((answer.body.as_str(), answer.header("connection")), ("r", Some("close")));
+    assert!(scheduler.wait().success());
+    assert!(worker.unasked());
+}
