Send a request again that a closed idle connection did not take whole

A worker that closed it between the check and the write would have been reported to the module as a failed connect, which sets the worker aside for 2 s (strike in src/choice.rs).

Changed: as long as the request's last byte was not written on an idle connection, it goes out on the next one, and at last on a new one. Also: a closing connection's end is a deadline of its own (net/clients.rs), a failed datagram receive pauses, and a failed bind names its address.

--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -94,10 +94,15 @@
 
     let clock = Clock::new();
     let (to, inbox) = unbounded_channel();
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let bound = listener.local_addr()?;
     let peers = match config.peers {
-        Some(peers) => Some(PeerLink::open(peers, to.clone()).await?),
+        Some(peers) => {
+            let address = peers.listen;
+            let link = PeerLink::open(peers, to.clone()).await;
+            Some(link.map_err(|e| format!("cannot listen on {address} for peers: {e}"))?)
+        }
         None => None,
     };
     let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -149,20 +149,21 @@
             }
         });
         let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
-        let mut closing = false;
+        let mut closing = None;
         loop {
-            let end = *lock(&line.since) + IDLE;
+            let end = closing.unwrap_or(*lock(&line.since) + IDLE);
             tokio::select! {
                 _ = connection.as_mut() => break,
-                () = line.close.notified(), if !closing => {
-                    closing = true;
-                    *lock(&line.since) = Instant::now() + CLOSE_WAIT - IDLE;
+                () = line.close.notified(), if closing.is_none() => {
+                    closing = Some(Instant::now() + CLOSE_WAIT);
                     connection.as_mut().graceful_shutdown();
                 }
                 () = sleep_until(end) => {
                     if line.busy.load(Ordering::Relaxed) {
+                        // An answer is owed: look again later.
                         *lock(&line.since) = Instant::now();
-                    } else if *lock(&line.since) + IDLE <= Instant::now() {
+                        closing = closing.map(|_| Instant::now() + CLOSE_WAIT);
+                    } else if closing.unwrap_or(*lock(&line.since) + IDLE) <= Instant::now() {
                         break;
                     }
                 }
--- a/spanlead/src/net/peers.rs
+++ b/spanlead/src/net/peers.rs
@@ -4,11 +4,15 @@
 use crate::driver::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::{Instant, sleep_until};
 
 /// The longest message that may be sent.
 const MAX_DATAGRAM: usize = 256;
+/// The pause after a failed receive.
+const RECEIVE_AGAIN: Duration = Duration::from_millis(20);
 
 /// The socket that the schedulers' messages come and go by.
 pub struct PeerLink {
@@ -25,8 +29,11 @@
         tokio::spawn(async move {
             let mut buffer = [0; MAX_DATAGRAM + 1];
             loop {
-                // An error here is an earlier send's (nobody listened there); such messages may be lost.
-                let Ok((length, sender)) = receiver.recv_from(&mut buffer).await else { continue };
+                let Ok((length, sender)) = receiver.recv_from(&mut buffer).await else {
+                    // An earlier send's error, as a rule: nobody listened there. Whatever it is, it must not spin.
+                    sleep_until(Instant::now() + RECEIVE_AGAIN).await;
+                    continue;
+                };
                 let number = senders.iter().position(|a| *a == sender);
                 if let Some(from) = number.filter(|_| length <= MAX_DATAGRAM) {
                     let input = Input::Peer { from: from as u32, data: buffer[..length].to_vec() };
--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -237,21 +237,27 @@
         request: impl Fn() -> Option<Request<Body>>,
         until: Instant,
     ) -> Result<Reply, Fault> {
-        let mut connection = loop {
-            match self.take_idle(addr) {
-                // The worker may have closed it just now: one that is still good says so at once.
-                Some(mut idle) => {
-                    if let Ok(Ok(())) = timeout_at(until, idle.sender.ready()).await {
-                        break idle;
-                    }
-                }
-                None => {
-                    let until = until.min(Instant::now() + self.connect_wait);
-                    let permit = self.permit(until).await?;
-                    break connect(addr, until, Some(permit)).await?;
-                }
+        // One that the worker closed just now says so at once, or takes less than the whole request: that can't
+        // have begun, so it goes out on the next one.
+        while let Some(idle) = self.take_idle(addr) {
+            match self.call_over(addr, idle, &request, until).await {
+                Err(Fault::Unsent) => {}
+                other => return other,
             }
-        };
+        }
+        let up_by = until.min(Instant::now() + self.connect_wait);
+        let permit = self.permit(up_by).await?;
+        let new = connect(addr, up_by, Some(permit)).await?;
+        self.call_over(addr, new, &request, until).await
+    }
+
+    async fn call_over(
+        &self,
+        addr: SocketAddr,
+        mut connection: Connection,
+        request: &impl Fn() -> Option<Request<Body>>,
+        until: Instant,
+    ) -> Result<Reply, Fault> {
         let request = request().ok_or(Fault::Unsent)?;
         let (status, headers, body) = connection.exchange(request, until, wire::MAX_BODY).await?;
         self.put_idle(addr, connection);
