--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 /// Fewer descriptors than this leave nothing to serve with.
-const MIN_SOCKETS: usize = 128;
+const MIN_SOCKETS: usize = 64;
 
 /// All that the scheduler is told at its start.
 pub struct Config {
--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -371,15 +371,10 @@
     fn handover(&mut self, now: Nanos, attempt: AttemptId, how: Handover, out: &mut Vec<Effect>) {
         match (self.stage(attempt), how) {
             (Some(Stage::Offered), Handover::Taken) => self.set_stage(attempt, Stage::Taken),
-            // It was called off while the worker's word that it has the job was on its way.
-            (Some(Stage::Leaving(outcome)), Handover::Taken) => {
-                self.set_stage(attempt, Stage::Taken);
-                self.abandon(now, attempt, outcome, out);
-            }
             (Some(Stage::Offered | Stage::Leaving(_)), Handover::Ended(outcome, report)) => {
                 self.end(now, attempt, outcome, report, out);
             }
-            // A worker's notice may have ended it before the answer to the send came.
+            // It was called off meanwhile, or a worker's notice has ended it before the answer to the send came.
             _ => {}
         }
     }
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -22,8 +22,8 @@
 /// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
 /// output, discovery, peers, and some to spare.
 const OTHER_SOCKETS: usize = 32;
-/// Client connections that are always left for the workers' notices.
-const NOTICE_SOCKETS: usize = 32;
+/// The part of the client connections that is always left for the workers' notices.
+const NOTICE_PART: usize = 4;
 /// How often idle connections to workers are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// How long the last connections may take to close at the end.
@@ -107,7 +107,7 @@
     };
     let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
     let mut driver = Driver {
-        core: Core::new(config.deployment.settings, config.seed, each - NOTICE_SOCKETS)?,
+        core: Core::new(config.deployment.settings, config.seed, each - each / NOTICE_PART)?,
         clock,
         reports,
         open: HashMap::new(),
@@ -215,16 +215,18 @@
             }
             Effect::Abandon { attempt, addr, id, taken, until } => {
                 let until = self.clock.instant(until);
-                if taken {
-                    tokio::spawn(async move {
+                let offering = |h: &JoinHandle<()>| !taken && !h.is_finished();
+                match self.handovers.remove(&attempt).filter(offering) {
+                    // Its connection closes with it, before the worker has said that it has the job.
+                    Some(handover) => {
+                        handover.abort();
+                        let _ = to.send(Message::Input(Input::Abandoned { attempt }));
+                    }
+                    // The worker has the job, or its word on that is in the inbox.
+                    None => drop(tokio::spawn(async move {
                         pool.abandon(addr, &id, until).await;
                         let _ = to.send(Message::Input(Input::Abandoned { attempt }));
-                    });
-                } else if let Some(handover) = self.handovers.get(&attempt).filter(|h| !h.is_finished()) {
-                    // Its connection closes with it. One that has finished has its result in the inbox.
-                    handover.abort();
-                    self.handovers.remove(&attempt);
-                    let _ = to.send(Message::Input(Input::Abandoned { attempt }));
+                    })),
                 }
             }
             Effect::Probe { worker, addr, until } => {
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -26,6 +26,9 @@
 /// A connection on which nothing was asked for this long is closed: what waits there is a head that never ends, an
 /// answer that nobody reads, or a client that vanished.
 const IDLE: Duration = Duration::from_secs(60);
+/// The longest head that is read, and with it the most that a connection buffers: hyper's own limit, on all
+/// connections at once, would go over the memory limit.
+const MAX_HEAD: usize = 16 * 1024;
 /// How long a body may take.
 const BODY_WAIT: Duration = Duration::from_secs(5);
 /// How long an idle connection that was asked to close may take.
@@ -148,7 +151,9 @@
                 Ok::<_, Infallible>(if closing { wire::closing(response) } else { response })
             }
         });
-        let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        let mut connection = pin!(
+            http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service)
+        );
         let mut closing = None;
         loop {
             let end = closing.unwrap_or(*lock(&line.since) + IDLE);
