Enter a connection before its task starts, so that accepting can't wait for ever

Seen: six copies of the test program at once; the test that fills the client connections (idle_connections_make_room_at_the_limit) failed in four of twelve runs, its job never reaching the worker.

At fault: net/clients.rs, Front::listen and connection. The task entered its connection in the table when it first ran. A burst was accepted up to the limit before any of the tasks had run, so there was no idle connection to close, and accepting waited for a permit that nothing would give back before the idle limit of 60 s. Ruled out: the earlier failures of that stress run, which came from configuration files that the copies shared (the harness now names them by process too), and a client's own connection being closed (it is the last in).

Changed: the listener enters the connection; while it waits at the limit it looks again whenever one becomes idle; the workers' pool does not keep a connection while all descriptors are in use.

Conclusion: a real stall, found by running the tests beside each other.

--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -51,7 +51,10 @@
     to: UnboundedSender<Message>,
     tickets: AtomicU64,
     lines: Mutex<HashMap<u64, Arc<Line>>>,
-    emptied: Notify,
+    /// A connection has ended.
+    ended: Notify,
+    /// A connection has become idle.
+    idled: Notify,
     /// Requests can be taken.
     pub ready: AtomicBool,
     /// Connections are to end with the answer that they wait for.
@@ -65,20 +68,30 @@
     close: Notify,
 }
 
+impl Line {
+    fn new() -> Self {
+        Line { busy: AtomicBool::new(false), since: Mutex::new(Instant::now()), close: Notify::new() }
+    }
+}
+
 /// A line is busy while this lives: from a request's head to its answer.
-struct Busy(Arc<Line>);
+struct Busy<'a> {
+    front: &'a Front,
+    line: &'a Line,
+}
 
-impl Busy {
-    fn new(line: &Arc<Line>) -> Self {
+impl<'a> Busy<'a> {
+    fn new(front: &'a Front, line: &'a Line) -> Self {
         line.busy.store(true, Ordering::Relaxed);
-        Busy(line.clone())
+        Busy { front, line }
     }
 }
 
-impl Drop for Busy {
+impl Drop for Busy<'_> {
     fn drop(&mut self) {
-        self.0.busy.store(false, Ordering::Relaxed);
-        *lock(&self.0.since) = Instant::now();
+        self.line.busy.store(false, Ordering::Relaxed);
+        *lock(&self.line.since) = Instant::now();
+        self.front.idled.notify_one();
     }
 }
 
@@ -106,7 +119,8 @@
             to,
             tickets: AtomicU64::new(0),
             lines: Mutex::default(),
-            emptied: Notify::new(),
+            ended: Notify::new(),
+            idled: Notify::new(),
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
         }
@@ -116,13 +130,22 @@
     /// waits for a descriptor before it accepts.
     pub async fn listen(self: Arc<Self>, listener: TcpListener, budget: usize) {
         let budget = Arc::new(Semaphore::new(budget));
-        loop {
-            if budget.available_permits() == 0 {
-                self.close_longest_idle();
-            }
-            let Ok(permit) = budget.clone().acquire_owned().await else { return };
+        while let Some(permit) = self.permit(&budget).await {
             match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::spawn(self.clone().connection(stream, permit))),
+                Ok((stream, _)) => {
+                    // Entered here, not by the task, which may start much later: what is not entered can't be asked
+                    // to make room, and accepting would wait for it for ever.
+                    let number = self.tickets.fetch_add(1, Ordering::Relaxed);
+                    let line = Arc::new(Line::new());
+                    lock(&self.lines).insert(number, line.clone());
+                    let front = self.clone();
+                    tokio::spawn(async move {
+                        front.connection(stream, &line).await;
+                        drop(permit);
+                        lock(&front.lines).remove(&number);
+                        front.ended.notify_waiters();
+                    });
+                }
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
                     sleep_until(Instant::now() + ACCEPT_AGAIN).await;
@@ -131,23 +154,29 @@
         }
     }
 
-    /// Serves one connection: the owner of its descriptor and of its share of the budget.
-    async fn connection(self: Arc<Self>, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+    /// One connection's share of the budget. At the limit the connection that has been idle longest makes room, or
+    /// the first to become idle.
+    async fn permit(&self, budget: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        loop {
+            if budget.available_permits() == 0 {
+                self.close_longest_idle();
+            }
+            tokio::select! {
+                permit = budget.clone().acquire_owned() => return permit.ok(),
+                () = self.idled.notified() => {}
+            }
+        }
+    }
+
+    /// Serves one connection to its end.
+    async fn connection(&self, stream: TcpStream, line: &Line) {
         let _ = stream.set_nodelay(true);
-        let line = Arc::new(Line {
-            busy: AtomicBool::new(false),
-            since: Mutex::new(Instant::now()),
-            close: Notify::new(),
-        });
-        let number = self.tickets.fetch_add(1, Ordering::Relaxed);
-        lock(&self.lines).insert(number, line.clone());
         let service = service_fn(|request| {
-            let busy = Busy::new(&line);
-            let front = &self;
+            let busy = Busy::new(self, line);
             async move {
-                let response = front.respond(request).await;
+                let response = self.respond(request).await;
                 drop(busy);
-                let closing = front.closing.load(Ordering::Relaxed);
+                let closing = self.closing.load(Ordering::Relaxed);
                 Ok::<_, Infallible>(if closing { wire::closing(response) } else { response })
             }
         });
@@ -174,8 +203,6 @@
                 }
             }
         }
-        lock(&self.lines).remove(&number);
-        self.emptied.notify_waiters();
     }
 
     fn close_longest_idle(&self) {
@@ -190,7 +217,7 @@
     /// `until`.
     pub async fn close(&self, until: Instant) {
         loop {
-            let emptied = self.emptied.notified();
+            let ended = self.ended.notified();
             {
                 let lines = lock(&self.lines);
                 if lines.is_empty() {
@@ -198,7 +225,7 @@
                 }
                 lines.values().for_each(|l| l.close.notify_one());
             }
-            if timeout_at(until, emptied).await.is_err() {
+            if timeout_at(until, ended).await.is_err() {
                 return;
             }
         }
--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -288,8 +288,9 @@
             .then_some(fresh.connection)
     }
 
+    /// Keeps a connection for the next request, unless somebody may be waiting for its descriptor.
     fn put_idle(&self, addr: SocketAddr, connection: Connection) {
-        if !connection.sender.is_closed() {
+        if !connection.sender.is_closed() && self.budget.available_permits() > 0 {
             lock(&self.idle).entry(addr).or_default().push(Idle { connection, since: Instant::now() });
         }
     }
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -231,9 +231,9 @@
 }
 
 fn command(subcommand: &str, config: &str) -> Command {
-    // One file for each test: the threads of a test run are named after the tests.
+    // One file for each test of each run: the threads of a test run are named after the tests.
     let name = thread::current().name().unwrap_or("test").replace("::", "-");
-    let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = format!("{}/{name}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("a writable folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_spanlead"));
     command.arg(subcommand).env_remove("ROUTER_NAME").env_remove("ROUTER_DISCOVERY");
