Take a new configuration on SIGHUP: the watch moves to the file's discovery address at once

At fault: driver.rs (Driver::run) listened for SIGTERM and SIGINT only; config.rs let ROUTER_DISCOVERY win always, so that a re-read would have gone on with the address of the start.

Ruled out: a reload that has the module subscribe anew. Its call at the old address would end as Failed, and the module then pauses 1 to 3 s (listed in src/choice.rs), which leaves little of the 4 s after which news counts as told.

Changed: the reducer owns discovery's address and the version of the list that is held (Input::Discovery, Effect::Watch); a watch replaces the one before, which is not heard of. A faulty file is one log line that names the key. The handlers are set before the program says that it listens. A discovery that counts anew is asked for its whole list.

Tests: both fail with the change taken out (tried: the variable's address after SIGHUP; no look at a lower version).

--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -82,20 +82,34 @@
     }
 }
 
-impl Config {
-    /// Reads the file that `$ROUTER_CONFIG` names; `$ROUTER_NAME`, `$ROUTER_LISTEN` and `$ROUTER_DISCOVERY` go before
-    /// what it says.
-    pub fn from_environment() -> Result<Self, ConfigError> {
+impl File {
+    fn read() -> Result<Self, ConfigError> {
         let path =
             variable("ROUTER_CONFIG").ok_or_else(|| ConfigError::new("ROUTER_CONFIG", "is not set"))?;
         let text =
             std::fs::read(&path).map_err(|e| ConfigError::new("ROUTER_CONFIG", format!("{path}: {e}")))?;
-        Self::parse(&text)
+        serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text))
+            .map_err(|e| ConfigError::new(faulty_key(e.path()), e.inner()))
+    }
+}
+
+impl Config {
+    /// Reads the file that `$ROUTER_CONFIG` names; `$ROUTER_NAME`, `$ROUTER_LISTEN` and `$ROUTER_DISCOVERY` go before
+    /// what it says.
+    pub fn from_environment() -> Result<Self, ConfigError> {
+        Self::checked(File::read()?)
+    }
+
+    /// Reads and checks the same file again, after it was replaced, and returns its discovery address: the one key
+    /// that is heeded without a restart. The file goes before `$ROUTER_DISCOVERY` here, which is as old as the process.
+    pub fn new_discovery() -> Result<SocketAddr, ConfigError> {
+        let file = File::read()?;
+        let named = file.discovery;
+        let config = Self::checked(file)?;
+        Ok(named.unwrap_or(config.discovery))
     }
 
-    fn parse(text: &[u8]) -> Result<Self, ConfigError> {
-        let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))
-            .map_err(|e| ConfigError::new(path(e.path()), e.inner()))?;
+    fn checked(file: File) -> Result<Self, ConfigError> {
         let bad = |e: BadField| ConfigError::new(format!("settings.{}", e.field), e.why);
         let mut deployment = Deployment::read(file.settings).map_err(bad)?;
         // The module turns down what makes no sense; ask it now, so that `check` finds it too.
@@ -135,7 +149,7 @@
 }
 
 /// A faulty key's path; what is wrong with the file as a whole is put down to the variable that names it.
-fn path(path: &serde_path_to_error::Path) -> String {
+fn faulty_key(path: &serde_path_to_error::Path) -> String {
     let text = path.to_string();
     if text == "." || text == "?" { "ROUTER_CONFIG".to_owned() } else { text }
 }
--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -90,10 +90,14 @@
     Abandoned {
         attempt: AttemptId,
     },
+    /// Discovery's news, at its version of the list.
     List {
         scope: ListScope,
+        version: u64,
         hosts: Vec<Host>,
     },
+    /// Discovery is to be found at this address from now on.
+    Discovery(SocketAddr),
     Probed {
         worker: Arc<str>,
         sent: Nanos,
@@ -125,14 +129,42 @@
 /// What the reducer wants done.
 #[derive(Debug)]
 pub enum Effect {
-    Answer { ticket: RequestId, answer: Answer },
-    Send { attempt: AttemptId, addr: SocketAddr, until: Nanos },
-    Abandon { attempt: AttemptId, addr: SocketAddr, id: Arc<str>, taken: bool, until: Nanos },
-    Probe { worker: Arc<str>, addr: SocketAddr, until: Nanos },
-    CloseIdle { addr: SocketAddr },
-    Tell { peer: Option<u32>, data: Vec<u8> },
-    Watch,
-    FetchList,
+    Answer {
+        ticket: RequestId,
+        answer: Answer,
+    },
+    Send {
+        attempt: AttemptId,
+        addr: SocketAddr,
+        until: Nanos,
+    },
+    Abandon {
+        attempt: AttemptId,
+        addr: SocketAddr,
+        id: Arc<str>,
+        taken: bool,
+        until: Nanos,
+    },
+    Probe {
+        worker: Arc<str>,
+        addr: SocketAddr,
+        until: Nanos,
+    },
+    CloseIdle {
+        addr: SocketAddr,
+    },
+    Tell {
+        peer: Option<u32>,
+        data: Vec<u8>,
+    },
+    /// Watch discovery at `addr` for what is newer than `version`, in place of any watch under way.
+    Watch {
+        addr: SocketAddr,
+        version: u64,
+    },
+    FetchList {
+        addr: SocketAddr,
+    },
     Log(String),
 }
 
@@ -175,6 +207,10 @@
     /// The serial of each open request by the id that the clients and workers know.
     by_id: HashMap<Arc<str>, RequestId>,
     workers: HashMap<Arc<str>, Host>,
+    /// Where discovery is, the version of its list that is held, and whether its news was asked for.
+    discovery: SocketAddr,
+    version: u64,
+    watching: bool,
     timers: BTreeMap<(Nanos, u64), Timer>,
     timer_serial: u64,
     stopping: Option<Nanos>,
@@ -182,7 +218,12 @@
 
 impl Core {
     /// A scheduler that knows no workers yet and holds at most `max_open` requests.
-    pub fn new(settings: Settings, seed: u64, max_open: usize) -> Result<Self, SettingsError> {
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        max_open: usize,
+        discovery: SocketAddr,
+    ) -> Result<Self, SettingsError> {
         let tick = settings.tick;
         Ok(Core {
             dispatcher: Dispatcher::new(settings, seed)?,
@@ -191,6 +232,9 @@
             requests: HashMap::new(),
             by_id: HashMap::new(),
             workers: HashMap::new(),
+            discovery,
+            version: 0,
+            watching: false,
             timers: BTreeMap::new(),
             timer_serial: 0,
             stopping: None,
@@ -230,7 +274,11 @@
                     self.end(now, attempt, outcome, None, out);
                 }
             }
-            Input::List { scope, hosts } => self.list(now, scope, hosts, out),
+            Input::List { scope, version, hosts } => {
+                self.version = version;
+                self.list(now, scope, hosts, out);
+            }
+            Input::Discovery(addr) => self.move_discovery(addr, out),
             Input::Probed { worker, sent, outcome, report } => {
                 let event = Event::Probed { worker: &worker, outcome, lag: now.saturating_sub(sent), report };
                 self.decide(now, event, out);
@@ -271,8 +319,11 @@
                 out.extend(self.workers.get(&worker.0).map(|h| Effect::CloseIdle { addr: h.addr }));
             }
             Action::Tell { peer, data } => out.push(Effect::Tell { peer, data }),
-            Action::Subscribe => out.push(Effect::Watch),
-            Action::FetchList => out.push(Effect::FetchList),
+            Action::Subscribe => {
+                self.watching = true;
+                out.push(Effect::Watch { addr: self.discovery, version: self.version });
+            }
+            Action::FetchList => out.push(Effect::FetchList { addr: self.discovery }),
             Action::Log(text) => out.push(Effect::Log(text)),
         }
     }
@@ -490,6 +541,15 @@
 
     // ------------------------------------------------------------ workers
 
+    /// Goes on with the list at another address. For the module the watch just goes on: a call at the old address
+    /// that ends with it is no failure of discovery.
+    fn move_discovery(&mut self, addr: SocketAddr, out: &mut Vec<Effect>) {
+        if addr != self.discovery {
+            self.discovery = addr;
+            out.extend(self.watching.then_some(Effect::Watch { addr, version: self.version }));
+        }
+    }
+
     fn list(&mut self, now: Nanos, scope: ListScope, hosts: Vec<Host>, out: &mut Vec<Effect>) {
         if matches!(scope, ListScope::Full | ListScope::Cached) {
             for host in self.workers.values_mut() {
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -7,13 +7,14 @@
 use crate::net::wire::{Notice, Parcel};
 use crate::net::workers::Pool;
 use oatdock::{ListScope, Nanos, RequestId};
-use settings::Reports;
+use settings::{Names, Reports};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -76,8 +77,9 @@
     handovers: HashMap<AttemptId, JoinHandle<()>>,
     pool: Arc<Pool>,
     front: Arc<Front>,
-    discovery: Discovery,
-    list_version: Arc<AtomicU64>,
+    names: Arc<Names>,
+    /// The watch of discovery, if one has been begun.
+    watch: Option<JoinHandle<()>>,
     peers: Option<PeerLink>,
     to: UnboundedSender<Message>,
     effects: Vec<Effect>,
@@ -92,6 +94,8 @@
     let names = Arc::new(config.deployment.names);
     let each = (config.sockets - OTHER_SOCKETS) / 2;
 
+    // Before anything is promised: until then these signals end the process.
+    let signals = Signals::new()?;
     let clock = Clock::new();
     let (to, inbox) = unbounded_channel();
     let listener = TcpListener::bind(config.listen).await;
@@ -107,31 +111,52 @@
     };
     let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
     let mut driver = Driver {
-        core: Core::new(config.deployment.settings, config.seed, each - each / NOTICE_PART)?,
+        core: Core::new(
+            config.deployment.settings,
+            config.seed,
+            each - each / NOTICE_PART,
+            config.discovery,
+        )?,
         clock,
         reports,
         open: HashMap::new(),
         handovers: HashMap::new(),
         pool: Arc::new(Pool::new(each, keep, connect_wait, reports)),
         front: front.clone(),
-        discovery: Discovery { addr: config.discovery, names, to: to.clone() },
-        list_version: Arc::new(AtomicU64::new(config.known_seq)),
+        names,
+        watch: None,
         peers,
         to,
         effects: Vec::new(),
     };
-    driver.step(Input::List { scope: ListScope::Cached, hosts: config.known });
+    let known = Input::List { scope: ListScope::Cached, version: config.known_seq, hosts: config.known };
+    driver.step(known);
     tokio::spawn(front.listen(listener, each));
     tracing::info!(name = config.name, address = %bound, "listening");
-    driver.run(inbox).await?;
+    driver.run(inbox, signals).await;
     tracing::info!("nothing is owed any more");
     Ok(())
 }
 
+/// What operations say by signals.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 impl Driver {
-    async fn run(&mut self, mut inbox: UnboundedReceiver<Message>) -> std::io::Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
+    async fn run(&mut self, mut inbox: UnboundedReceiver<Message>, mut signals: Signals) {
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
         while !self.core.finished(self.clock.now()) {
             let timer = self.core.next_timer().map(|at| self.clock.instant(at));
@@ -140,12 +165,23 @@
                 message = inbox.recv() => if let Some(message) = message { self.receive(message) },
                 () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
                 _ = sweep.tick() => self.sweep(),
-                _ = terminate.recv() => self.stop(),
-                _ = interrupt.recv() => self.stop(),
+                _ = signals.terminate.recv() => self.stop(),
+                _ = signals.interrupt.recv() => self.stop(),
+                _ = signals.hang_up.recv() => self.reload(),
             }
         }
         self.front.close(Instant::now() + LAST_CLOSE).await;
-        Ok(())
+    }
+
+    /// The configuration's file was replaced. A faulty one must not stop a scheduler that serves.
+    fn reload(&mut self) {
+        match Config::new_discovery() {
+            Ok(addr) => {
+                tracing::info!(discovery = %addr, "configuration read again");
+                self.step(Input::Discovery(addr));
+            }
+            Err(error) => tracing::error!("the new configuration is not used: {error}"),
+        }
     }
 
     fn sweep(&mut self) {
@@ -242,15 +278,16 @@
                     peers.tell(peer, &data);
                 }
             }
-            Effect::Watch => {
-                let (discovery, version) = (self.discovery.clone(), self.list_version.clone());
-                tokio::spawn(async move {
-                    let reached = discovery.watch(version.load(Ordering::Relaxed)).await;
-                    version.store(reached, Ordering::Relaxed);
-                });
+            Effect::Watch { addr, version } => {
+                let watch = tokio::spawn(self.discovery(addr, version).watch());
+                // One at a time: the one before, if it still runs, ends here with its connection and is not heard of.
+                self.watch.replace(watch).inspect(JoinHandle::abort);
             }
-            Effect::FetchList => drop(tokio::spawn(self.discovery.clone().fetch())),
+            Effect::FetchList { addr } => drop(tokio::spawn(self.discovery(addr, 0).fetch())),
             Effect::Log(text) => tracing::info!("{text}"),
         }
     }
+    fn discovery(&self, addr: SocketAddr, version: u64) -> Discovery {
+        Discovery { addr, version, names: self.names.clone(), to: self.to.clone() }
+    }
 }
--- a/spanlead/src/net/discovery.rs
+++ b/spanlead/src/net/discovery.rs
@@ -19,47 +19,51 @@
 /// The longest list that is read: a few hundred bytes for each of thousands of workers.
 const MAX_LIST: usize = 4 << 20;
 
-/// Discovery as one scheduler sees it.
-#[derive(Clone)]
+/// Discovery as one scheduler sees it: where it is, and the version of its list that is held.
 pub struct Discovery {
     pub addr: SocketAddr,
+    pub version: u64,
     pub names: Arc<Names>,
     pub to: UnboundedSender<Message>,
 }
 
 impl Discovery {
-    /// Watches for changes after version `seq` until a call fails, which is told as such: the module decides when to
-    /// ask again. Returns the version it got to.
-    pub async fn watch(self, mut seq: u64) -> u64 {
+    /// Watches for changes until a call fails, which is told as such: the module decides when to ask again.
+    pub async fn watch(mut self) {
         // The first call brings what was missed and does not wait; its answer also tells that the watch stands.
-        let (mut wait, mut first) = (Duration::ZERO, true);
+        let (mut wait, mut first, mut whole) = (Duration::ZERO, true, false);
         let mut connection = None;
         loop {
             let until = Instant::now() + wait + LATE;
-            let call = wire::watch(seq, wait.as_millis() as u64);
-            match self.call(&mut connection, call, until).await {
-                Some(list) => {
-                    seq = list.seq;
-                    let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
-                    let hosts = list.hosts(&self.names);
-                    if first || scope == ListScope::Full || !hosts.is_empty() {
-                        self.tell(scope, hosts);
-                    }
-                    (wait, first) = (WAIT, false);
-                }
-                None => {
-                    tracing::info!(seq, "discovery call failed");
-                    self.tell(ListScope::Failed, Vec::new());
-                    return seq;
-                }
+            let call = match whole {
+                true => wire::whole_list(),
+                false => wire::watch(self.version, wait.as_millis() as u64),
+            };
+            let Some(list) = self.call(&mut connection, call, until).await else { break };
+            // A service that counts anew can't tell what was missed since another's version: ask for all.
+            if list.seq < self.version && !list.whole {
+                (whole, wait) = (true, Duration::ZERO);
+                continue;
             }
+            self.version = list.seq;
+            let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
+            let hosts = list.hosts(&self.names);
+            if first || scope == ListScope::Full || !hosts.is_empty() {
+                self.tell(scope, hosts);
+            }
+            (wait, first, whole) = (WAIT, false, false);
         }
+        tracing::info!(version = self.version, "discovery call failed");
+        self.tell(ListScope::Failed, Vec::new());
     }
 
     /// Asks for the whole list once.
-    pub async fn fetch(self) {
+    pub async fn fetch(mut self) {
         match self.call(&mut None, wire::whole_list(), Instant::now() + LATE).await {
-            Some(list) => self.tell(ListScope::Full, list.hosts(&self.names)),
+            Some(list) => {
+                self.version = list.seq;
+                self.tell(ListScope::Full, list.hosts(&self.names));
+            }
             None => self.tell(ListScope::Failed, Vec::new()),
         }
     }
@@ -80,6 +84,6 @@
     }
 
     fn tell(&self, scope: ListScope, hosts: Vec<Host>) {
-        let _ = self.to.send(Message::Input(Input::List { scope, hosts }));
+        let _ = self.to.send(Message::Input(Input::List { scope, version: self.version, hosts }));
     }
 }
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler as a process, and the clients, workers and discovery that speak to it. Everything waits for events;
 //! [`PATIENCE`] only ends a test that would hang.
+use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
@@ -175,6 +176,7 @@
 pub struct Scheduler {
     child: Child,
     pub addr: SocketAddr,
+    log: Receiver<String>,
 }
 
 impl Scheduler {
@@ -182,17 +184,30 @@
     pub fn start(discovery: SocketAddr, known: &[String], edits: &[(&str, &str)]) -> Self {
         let text = config(discovery, &known.join(","));
         let text = edits.iter().fold(text, |text, (from, to)| text.replace(from, to));
-        let mut child = command("serve", &text).stderr(Stdio::piped()).spawn().expect("it starts");
-        let mut log = BufReader::new(child.stderr.take().expect("piped"));
-        let addr = loop {
-            let mut line = String::new();
-            assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it listened");
-            if let Some((_, addr)) = line.trim_end().split_once("address=") {
-                break addr.parse().expect("an address");
-            }
-        };
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Scheduler { child, addr }
+        let mut command = command("serve", &text);
+        // As in service, where the variable says the same as the file does at the start.
+        command.env("ROUTER_DISCOVERY", discovery.to_string());
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let (to, log) = channel();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(to.send(line))));
+        let mut scheduler = Scheduler { child, addr: nobody(), log };
+        let line = scheduler.logged("address=");
+        scheduler.addr =
+            line.split_once("address=").and_then(|(_, a)| a.trim().parse().ok()).expect("an address");
+        scheduler
+    }
+
+    /// The next line of the log that holds this text.
+    pub fn logged(&self, text: &str) -> String {
+        let next = || self.log.recv_timeout(PATIENCE).expect("the log goes on");
+        std::iter::repeat_with(next).find(|line| line.contains(text)).expect("endless")
+    }
+
+    /// Replaces the configuration's file and says so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(config_path(), config).expect("a writable folder");
+        self.signal(Signal::HUP);
     }
 
     pub fn client(&self) -> Client {
@@ -209,8 +224,11 @@
     }
 
     pub fn terminate(&self) {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
+        self.signal(Signal::TERM);
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
     }
 
     pub fn wait(&mut self) -> ExitStatus {
@@ -230,10 +248,14 @@
     command(subcommand, config).output().expect("it starts")
 }
 
-fn command(subcommand: &str, config: &str) -> Command {
-    // One file for each test of each run: the threads of a test run are named after the tests.
+/// One file for each test of each run: the threads of a test run are named after the tests.
+fn config_path() -> String {
     let name = thread::current().name().unwrap_or("test").replace("::", "-");
-    let path = format!("{}/{name}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    format!("{}/{name}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id())
+}
+
+fn command(subcommand: &str, config: &str) -> Command {
+    let path = config_path();
     std::fs::write(&path, config).expect("a writable folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_spanlead"));
     command.arg(subcommand).env_remove("ROUTER_NAME").env_remove("ROUTER_DISCOVERY");
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -2,7 +2,7 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{Call, Scheduler, Server, nobody};
+use harness::{Call, Scheduler, Server, config, nobody};
 use insta::assert_snapshot;
 
 /// A scheduler that knows one worker, `s-a`.
@@ -289,6 +289,44 @@
     assert_eq!(discovery.next().message.start, "GET /v1/servers?index=43&wait=0 HTTP/1.1");
 }
 
+// Guards a new configuration under load: SIGHUP ended the program before. The file's address goes before the variable's,
+// the watch moves there at once though the old one's call still waits, a faulty file changes nothing, and the job that
+// was out all the while is answered.
+#[test]
+fn a_new_configuration_moves_the_watch_and_nothing_else() {
+    let (scheduler, worker, discovery) = with_worker();
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    client.job("status-check", "id-1", 60_000);
+    take(worker.next());
+    discovery.next().reply("200 OK", "", r#"{"seq":42,"whole":false,"hosts":[]}"#);
+    let _waiting = discovery.next();
+    scheduler.reload(&config(nobody(), "").replace(r#""sockets":128"#, r#""sockets":"many""#));
+    let faulty = scheduler.logged("ERROR");
+    assert!(faulty.contains("configuration key `limits.sockets`"), "{faulty}");
+    for (seq, moved) in [(42, Server::start()), (43, Server::start())] {
+        scheduler.reload(&config(moved.addr, ""));
+        let call = moved.next();
+        assert_eq!(call.message.start, format!("GET /v1/servers?index={seq}&wait=0 HTTP/1.1"));
+        call.reply("200 OK", "", r#"{"seq":43,"whole":false,"hosts":[]}"#);
+        assert_eq!(moved.next().message.start, "GET /v1/servers?index=43&wait=10000 HTTP/1.1");
+    }
+    discovery.ended();
+    assert!(discovery.unasked());
+    notices.notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+}
+
+// Guards against changes missed for good: a discovery that counts anew is asked for the whole list.
+#[test]
+fn a_discovery_that_counts_anew_is_asked_for_all() {
+    let (_scheduler, _worker, discovery) = with_worker();
+    discovery.next().reply("200 OK", "", r#"{"seq":7,"whole":false,"hosts":[]}"#);
+    let call = discovery.next();
+    assert_eq!(call.message.start, "GET /v1/servers HTTP/1.1");
+    call.reply("200 OK", "", r#"{"seq":7,"whole":true,"hosts":[]}"#);
+    assert_eq!(discovery.next().message.start, "GET /v1/servers?index=7&wait=10000 HTTP/1.1");
+}
+
 // Guards against a discovery that vanished: a silent call ends at its deadline and another follows.
 #[test]
 fn a_silent_discovery_is_asked_again() {
