Bound a request's coming in to 2.5 s and let unproven connections make room first

At fault: net/clients.rs. IDLE (60 s) covered a first head as well, BODY_WAIT was 5 s, and at the limit the longest idle connection went, which is a usual client's rather than a fresh silent one (close_longest_idle). Transfer-Encoding beside Content-Length was read hyper's way, so a request hidden in the body went on to a worker. wire.rs (job) took any figure of Req-Extra and any doubled header. driver.rs split descriptors in halves: with 256, clients may hold 85 open, it took 84; limits.memory_mb was not read.

Changed: a connection's stage (reading, idle, busy, lingering) says when it ends; a first request counts from the accept. At the limit lingering ones go, then unproven ones after 250 ms, then the longest idle. Length told by Transfer-Encoding: 400 and the end. Figures over 4096 and doubled headers: 400. config.rs shares out descriptors and memory.

Tests: six new or wider ones; each seen failing with its change taken out (end of a head, grace, order, lingering, lengths).

--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults.
 use crate::core::Host;
+use crate::net::clients::MAX_HEAD;
 use crate::net::wire;
 use oatdock::{Dispatcher, Nanos};
 use serde::Deserialize;
@@ -7,8 +8,14 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-/// Fewer descriptors than this leave nothing to serve with.
+/// Fewer descriptors, or less memory, than this leave nothing to serve with.
 const MIN_SOCKETS: usize = 64;
+const MIN_MEMORY_MB: usize = 16;
+/// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
+/// output, discovery, peers, and some to spare.
+const OTHER_SOCKETS: usize = 32;
+/// What a client's connection may hold at the most: its buffer, a body, and what is kept beside them.
+const CLIENT_MEMORY: usize = MAX_HEAD + wire::MAX_BODY + 16 * 1024;
 
 /// All that the scheduler is told at its start.
 pub struct Config {
@@ -16,13 +23,34 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
-    pub sockets: usize,
+    pub shares: Shares,
     pub peers: Option<Peers>,
     pub known_seq: u64,
     pub known: Vec<Host>,
     pub deployment: Deployment,
 }
 
+/// How the machine's descriptors and memory are shared out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shares {
+    /// Connections from clients, and for workers' notices.
+    pub clients: usize,
+    /// Requests that are open at a time; the other client connections are left for notices.
+    pub open: usize,
+    /// Connections to workers.
+    pub workers: usize,
+}
+
+impl Shares {
+    /// Clients hold up to a third of the descriptors for requests and notices come beside them, so two thirds are
+    /// theirs, if half of the memory allows that; an exchange with a worker is short.
+    fn of(limits: &Limits) -> Self {
+        let descriptors = limits.sockets - OTHER_SOCKETS;
+        let clients = (descriptors * 2 / 3).min(limits.memory_mb * (1 << 20) / 2 / CLIENT_MEMORY);
+        Shares { clients, open: clients - clients / 4, workers: descriptors / 3 }
+    }
+}
+
 /// Where the other schedulers are.
 pub struct Peers {
     pub listen: SocketAddr,
@@ -74,11 +102,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -124,13 +153,16 @@
         if file.limits.sockets < MIN_SOCKETS {
             return Err(ConfigError::new("limits.sockets", format!("must be at least {MIN_SOCKETS}")));
         }
+        if file.limits.memory_mb < MIN_MEMORY_MB {
+            return Err(ConfigError::new("limits.memory_mb", format!("must be at least {MIN_MEMORY_MB}")));
+        }
         let peers = file.peer_listen.filter(|_| deployment.settings.limits.peers);
         Ok(Config {
             name: variable("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".to_owned()),
             listen: address("ROUTER_LISTEN", "listen", file.listen)?,
             discovery: address("ROUTER_DISCOVERY", "discovery", file.discovery)?,
             seed,
-            sockets: file.limits.sockets,
+            shares: Shares::of(&file.limits),
             peers: peers.map(|listen| Peers { listen, each: file.peers, all: file.peers_all }),
             known_seq: file.known.seq,
             known: file.known.hosts(&deployment.names),
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -20,11 +20,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 
-/// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
-/// output, discovery, peers, and some to spare.
-const OTHER_SOCKETS: usize = 32;
-/// The part of the client connections that is always left for the workers' notices.
-const NOTICE_PART: usize = 4;
 /// How often idle connections to workers are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// How long the last connections may take to close at the end.
@@ -92,7 +87,7 @@
     let connect_wait = Duration::from_nanos(limits.connect_timeout);
     let reports = config.deployment.reports;
     let names = Arc::new(config.deployment.names);
-    let each = (config.sockets - OTHER_SOCKETS) / 2;
+    let shares = config.shares;
 
     // Before anything is promised: until then these signals end the process.
     let signals = Signals::new()?;
@@ -111,17 +106,12 @@
     };
     let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
     let mut driver = Driver {
-        core: Core::new(
-            config.deployment.settings,
-            config.seed,
-            each - each / NOTICE_PART,
-            config.discovery,
-        )?,
+        core: Core::new(config.deployment.settings, config.seed, shares.open, config.discovery)?,
         clock,
         reports,
         open: HashMap::new(),
         handovers: HashMap::new(),
-        pool: Arc::new(Pool::new(each, keep, connect_wait, reports)),
+        pool: Arc::new(Pool::new(shares.workers, keep, connect_wait, reports)),
         front: front.clone(),
         names,
         watch: None,
@@ -131,7 +121,7 @@
     };
     let known = Input::List { scope: ListScope::Cached, version: config.known_seq, hosts: config.known };
     driver.step(known);
-    tokio::spawn(front.listen(listener, each));
+    tokio::spawn(front.listen(listener, shares.clients));
     tracing::info!(name = config.name, address = %bound, "listening");
     driver.run(inbox, signals).await;
     tracing::info!("nothing is owed any more");
--- a/spanlead/src/main.rs
+++ b/spanlead/src/main.rs
@@ -63,6 +63,8 @@
     println!("tenants    {}", names.tenants.join(", "));
     println!("zones      {}", names.zones.join(", "));
     println!("kinds      {}", names.kinds.join(", "));
-    println!("sockets    {}", config.sockets);
+    let shares = config.shares;
+    println!("clients    {} connections, {} requests at a time", shares.clients, shares.open);
+    println!("to workers {} connections", shares.workers);
     Ok(())
 }
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -13,26 +14,35 @@
 use settings::Names;
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::io;
+use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{Body, CALLBACK, HEALTH, MAX_BODY, Notice, Parcel, Rejected};
 
-/// A connection on which nothing was asked for this long is closed: what waits there is a head that never ends, an
-/// answer that nobody reads, or a client that vanished.
+/// How long a request may take to come in whole: the first on a connection counted from when it was accepted, which
+/// closes those that say nothing, a later one from its first byte.
+const REQUEST_WAIT: Duration = Duration::from_millis(2500);
+/// A connection on which nothing was asked for this long is closed: an answer that nobody reads, or a client that
+/// vanished.
 const IDLE: Duration = Duration::from_secs(60);
+/// At the limit a connection that has brought nothing of use yet is closed for others only after this long: a client's
+/// first request may be on its way.
+const GRACE: Duration = Duration::from_millis(250);
 /// The longest head that is read, and with it the most that a connection buffers: hyper's own limit, on all
 /// connections at once, would go over the memory limit.
-const MAX_HEAD: usize = 16 * 1024;
-/// How long a body may take.
-const BODY_WAIT: Duration = Duration::from_secs(5);
-/// How long an idle connection that was asked to close may take.
-const CLOSE_WAIT: Duration = Duration::from_secs(1);
+pub const MAX_HEAD: usize = 16 * 1024;
+/// What is still read, and for how long, of a client that goes on sending after its last answer: a connection that is
+/// closed with unread input is reset, which can destroy the answer on its way.
+const LINGER_BYTES: usize = 256 * 1024;
+const LINGER: Duration = Duration::from_millis(500);
 /// The pause after an accept that failed for want of something in the system.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -63,14 +73,58 @@
 
 /// A connection as the others see it.
 struct Line {
-    busy: AtomicBool,
-    since: Mutex<Instant>,
+    stage: Mutex<Stage>,
+    /// It has brought a job or a notice that could be used.
+    proven: AtomicBool,
     close: Notify,
+    /// A request has begun to come in.
+    begun: Notify,
+    /// The socket, once HTTP is done with it.
+    rest: Mutex<Option<TcpStream>>,
+}
+
+#[derive(Clone, Copy)]
+enum Stage {
+    /// A request is expected, or has begun to come in, since then.
+    Reading(Instant),
+    /// Nothing is under way since then.
+    Idle(Instant),
+    /// From a request's head to its answer.
+    Busy,
+    /// The last answer has been given.
+    Lingering,
 }
 
 impl Line {
     fn new() -> Self {
-        Line { busy: AtomicBool::new(false), since: Mutex::new(Instant::now()), close: Notify::new() }
+        Line {
+            stage: Mutex::new(Stage::Reading(Instant::now())),
+            proven: AtomicBool::new(false),
+            close: Notify::new(),
+            begun: Notify::new(),
+            rest: Mutex::default(),
+        }
+    }
+
+    fn stage(&self) -> Stage {
+        *lock(&self.stage)
+    }
+
+    fn idle(&self) -> bool {
+        !matches!(self.stage(), Stage::Busy)
+    }
+
+    fn proven(&self) -> bool {
+        self.proven.load(Ordering::Relaxed)
+    }
+
+    /// When it is closed if nothing changes; a busy one ends with its answer.
+    fn end(&self) -> Instant {
+        match self.stage() {
+            Stage::Reading(since) => since + REQUEST_WAIT,
+            Stage::Idle(since) => since + IDLE,
+            Stage::Busy | Stage::Lingering => Instant::now() + IDLE,
+        }
     }
 }
 
@@ -78,23 +132,79 @@
 struct Busy<'a> {
     front: &'a Front,
     line: &'a Line,
+    /// When all of the request must have come in.
+    whole_by: Instant,
 }
 
 impl<'a> Busy<'a> {
     fn new(front: &'a Front, line: &'a Line) -> Self {
-        line.busy.store(true, Ordering::Relaxed);
-        Busy { front, line }
+        let since = match std::mem::replace(&mut *lock(&line.stage), Stage::Busy) {
+            Stage::Reading(since) => since,
+            // Its head came together with the end of the request before.
+            _ => Instant::now(),
+        };
+        Busy { front, line, whole_by: since + REQUEST_WAIT }
     }
 }
 
 impl Drop for Busy<'_> {
     fn drop(&mut self) {
-        self.line.busy.store(false, Ordering::Relaxed);
-        *lock(&self.line.since) = Instant::now();
+        *lock(&self.line.stage) = Stage::Idle(Instant::now());
         self.front.idled.notify_one();
     }
 }
 
+/// The stream under a connection: it notices when a request begins to come in, and leaves the socket behind.
+struct Tap {
+    stream: Option<TcpStream>,
+    line: Arc<Line>,
+}
+
+impl Tap {
+    fn stream(self: Pin<&mut Self>) -> io::Result<Pin<&mut TcpStream>> {
+        self.get_mut().stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
+    }
+}
+
+impl Drop for Tap {
+    fn drop(&mut self) {
+        *lock(&self.line.rest) = self.stream.take();
+    }
+}
+
+impl AsyncRead for Tap {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        to: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = to.filled().len();
+        let read = self.as_mut().stream()?.poll_read(cx, to);
+        if to.filled().len() > before {
+            let mut stage = lock(&self.line.stage);
+            if let Stage::Idle(_) = *stage {
+                *stage = Stage::Reading(Instant::now());
+                self.line.begun.notify_one();
+            }
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Tap {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.stream()?.poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream()?.poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream()?.poll_shutdown(cx)
+    }
+}
+
 /// Tells the driver if a request's connection ends before its answer came: dropped with the request's future.
 struct Departure<'a> {
     ticket: RequestId,
@@ -126,8 +236,8 @@
         }
     }
 
-    /// Accepts connections for ever, at most `budget` at a time: at the limit it closes the longest idle one, and
-    /// waits for a descriptor before it accepts.
+    /// Accepts connections for ever, at most `budget` at a time: at the limit it waits for a descriptor before
+    /// it accepts.
     pub async fn listen(self: Arc<Self>, listener: TcpListener, budget: usize) {
         let budget = Arc::new(Semaphore::new(budget));
         while let Some(permit) = self.permit(&budget).await {
@@ -154,27 +264,74 @@
         }
     }
 
-    /// One connection's share of the budget. At the limit the connection that has been idle longest makes room, or
-    /// the first to become idle.
+    /// One connection's share of the budget; at the limit another makes room, or the first to become idle.
     async fn permit(&self, budget: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         loop {
-            if budget.available_permits() == 0 {
-                self.close_longest_idle();
-            }
+            let look_again = match budget.available_permits() {
+                0 => self.make_room(),
+                _ => Instant::now() + IDLE,
+            };
             tokio::select! {
                 permit = budget.clone().acquire_owned() => return permit.ok(),
                 () = self.idled.notified() => {}
+                () = sleep_until(look_again) => {}
+            }
+        }
+    }
+
+    /// Closes a connection for another: one that is done, else one that has brought nothing of use, else the one that
+    /// has been idle longest. Returns when to look again: a fresh connection is given its grace, and while there is
+    /// one, no client or worker that proved itself is cut for it.
+    fn make_room(&self) -> Instant {
+        let now = Instant::now();
+        let lines = lock(&self.lines);
+        let mut next = now + IDLE;
+        let mut victim: Option<((u8, Instant), &Arc<Line>)> = None;
+        for line in lines.values() {
+            let rank = match line.stage() {
+                Stage::Lingering => (0, now),
+                Stage::Idle(since) if line.proven() => (2, since),
+                Stage::Idle(since) | Stage::Reading(since) if !line.proven() => {
+                    if since + GRACE > now {
+                        next = next.min(since + GRACE);
+                        continue;
+                    }
+                    (1, since)
+                }
+                _ => continue,
+            };
+            if victim.is_none_or(|(best, _)| rank < best) {
+                victim = Some((rank, line));
             }
         }
+        let fresh = next < now + IDLE;
+        if let Some((_, line)) = victim.filter(|((rank, _), _)| *rank < 2 || !fresh) {
+            line.close.notify_one();
+        }
+        next
     }
 
     /// Serves one connection to its end.
-    async fn connection(&self, stream: TcpStream, line: &Line) {
+    async fn connection(&self, stream: TcpStream, line: &Arc<Line>) {
         let _ = stream.set_nodelay(true);
+        let stream = Tap { stream: Some(stream), line: line.clone() };
+        let in_order = self.serve(stream, line).await;
+        *lock(&line.stage) = Stage::Lingering;
+        let rest = lock(&line.rest).take();
+        if let Some(stream) = rest.filter(|_| in_order) {
+            tokio::select! {
+                () = linger(stream, Instant::now() + LINGER) => {}
+                () = line.close.notified() => {}
+            }
+        }
+    }
+
+    /// Speaks HTTP over a connection. Returns whether that came to its end in order, our side of it closed.
+    async fn serve(&self, stream: Tap, line: &Line) -> bool {
         let service = service_fn(|request| {
             let busy = Busy::new(self, line);
             async move {
-                let response = self.respond(request).await;
+                let response = self.respond(request, &busy).await;
                 drop(busy);
                 let closing = self.closing.load(Ordering::Relaxed);
                 Ok::<_, Infallible>(if closing { wire::closing(response) } else { response })
@@ -183,36 +340,20 @@
         let mut connection = pin!(
             http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service)
         );
-        let mut closing = None;
         loop {
-            let end = closing.unwrap_or(*lock(&line.since) + IDLE);
             tokio::select! {
-                _ = connection.as_mut() => break,
-                () = line.close.notified(), if closing.is_none() => {
-                    closing = Some(Instant::now() + CLOSE_WAIT);
-                    connection.as_mut().graceful_shutdown();
-                }
-                () = sleep_until(end) => {
-                    if line.busy.load(Ordering::Relaxed) {
-                        // An answer is owed: look again later.
-                        *lock(&line.since) = Instant::now();
-                        closing = closing.map(|_| Instant::now() + CLOSE_WAIT);
-                    } else if closing.unwrap_or(*lock(&line.since) + IDLE) <= Instant::now() {
-                        break;
-                    }
-                }
+                _ = connection.as_mut() => return true,
+                () = line.begun.notified() => {}
+                () = line.close.notified() => match line.idle() && !line.proven() {
+                    true => return false,
+                    // What has begun to come in is still served.
+                    false => connection.as_mut().graceful_shutdown(),
+                },
+                () = sleep_until(line.end()) => if line.end() <= Instant::now() { return false },
             }
         }
     }
 
-    fn close_longest_idle(&self) {
-        let lines = lock(&self.lines);
-        let idle = lines.values().filter(|l| !l.busy.load(Ordering::Relaxed));
-        if let Some(line) = idle.min_by_key(|l| *lock(&l.since)) {
-            line.close.notify_one();
-        }
-    }
-
     /// Closes all connections, idle ones at once, the others with their answer; returns when they are closed or at
     /// `until`.
     pub async fn close(&self, until: Instant) {
@@ -234,42 +375,46 @@
     /// Closes the connections that wait for nothing.
     pub fn close_idle(&self) {
         let lines = lock(&self.lines);
-        lines.values().filter(|l| !l.busy.load(Ordering::Relaxed)).for_each(|l| l.close.notify_one());
+        lines.values().filter(|l| l.idle()).for_each(|l| l.close.notify_one());
     }
 
     // ------------------------------------------------------------ requests
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn respond(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Response<Body> {
+        // hyper goes by Transfer-Encoding and may hide a Content-Length beside it, by which another server would find
+        // a second request in the body. Nobody here needs it.
+        if request.headers().contains_key(TRANSFER_ENCODING) {
+            return reject(Rejected(
+                StatusCode::BAD_REQUEST,
+                "a body's length is told by Content-Length alone",
+            ));
+        }
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEALTH) => match self.ready.load(Ordering::Relaxed) {
                 true => wire::plain(StatusCode::OK, "ready\n"),
                 false => wire::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
-            (&Method::POST, CALLBACK) => self.notice(request).await,
-            _ => self.job(request).await.unwrap_or_else(|Rejected(status, why)| {
-                // What is left of its body would be read as the next request.
-                wire::closing(wire::plain(status, format!("{why}\n")))
-            }),
+            (&Method::POST, CALLBACK) => self.notice(request, busy).await.unwrap_or_else(reject),
+            _ => self.job(request, busy).await.unwrap_or_else(reject),
         }
     }
 
-    async fn notice(&self, request: Request<Incoming>) -> Response<Body> {
-        let Ok(body) = read(request.into_body(), Instant::now() + BODY_WAIT).await else {
-            return wire::closing(wire::plain(StatusCode::BAD_REQUEST, "the body can't be read\n"));
-        };
+    async fn notice(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
+        let body = read(request.into_body(), busy.whole_by).await?;
         let Some(notice) = Notice::read(&body) else {
-            return wire::plain(StatusCode::BAD_REQUEST, "not a notice\n");
+            return Ok(wire::plain(StatusCode::BAD_REQUEST, "not a notice\n"));
         };
+        busy.line.proven.store(true, Ordering::Relaxed);
         let _ = self.to.send(Message::Notice(notice));
-        wire::plain(StatusCode::OK, "")
+        Ok(wire::plain(StatusCode::OK, ""))
     }
 
-    async fn job(&self, request: Request<Incoming>) -> Result<Response<Body>, Rejected> {
+    async fn job(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
         let (head, body) = request.into_parts();
         let arrived = self.clock.now();
         let job = wire::job(&head, &self.names, arrived)?;
-        let until = self.clock.instant(job.due).min(Instant::now() + BODY_WAIT);
-        let body = read(body, until).await?;
+        let body = read(body, self.clock.instant(job.due).min(busy.whole_by)).await?;
+        busy.line.proven.store(true, Ordering::Relaxed);
         let ticket = RequestId(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
         let arrival = Arrival { ticket, job, parcel: wire::parcel(head, body), reply };
@@ -281,6 +426,23 @@
     }
 }
 
+/// Turns a request down. What is left of it would be read as the next one, so the connection ends.
+fn reject(Rejected(status, why): Rejected) -> Response<Body> {
+    wire::closing(wire::plain(status, format!("{why}\n")))
+}
+
+/// Reads on, within bounds, until the other side has closed.
+async fn linger(mut stream: TcpStream, until: Instant) {
+    let mut buffer = [0; 8 * 1024];
+    let mut left = LINGER_BYTES;
+    while let Ok(Ok(n @ 1..)) = timeout_at(until, stream.read(&mut buffer)).await {
+        left = left.saturating_sub(n);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 async fn read(body: Incoming, until: Instant) -> Result<Bytes, Rejected> {
     if hyper::body::Body::size_hint(&body).lower() > MAX_BODY as u64 {
         return Err(Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
--- a/spanlead/src/net/wire.rs
+++ b/spanlead/src/net/wire.rs
@@ -29,6 +29,8 @@
 
 /// The longest deadline that is believed, milliseconds: later ones could only be a mistake.
 const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+/// The most slots or memory units of a job that are believed: more than any machine has.
+const MAX_FIGURE: f64 = 4096.0;
 /// The longest id; it becomes part of a path.
 const MAX_ID: usize = 128;
 
@@ -62,6 +64,11 @@
     if head.method != Method::POST {
         return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST"));
     }
+    // Sent on, a header that came twice could be read one way here and another way by the worker.
+    let once = [&REQ_ID, &REQ_OWNER, &REQ_KEY, &REQ_DEADLINE, &REQ_EXTRA, &IDEMPOTENCY_KEY];
+    if once.into_iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
+        return Err(bad("a header came twice"));
+    }
     let id = text(&head.headers, &REQ_ID).ok_or(bad("Req-Id is missing"))?;
     // The id becomes a path's segment in a call to a worker.
     let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
@@ -79,14 +86,19 @@
         return Err(bad("Req-Deadline-Ms is too far away"));
     }
     let extra = text(&head.headers, &REQ_EXTRA).unwrap_or("");
-    let figure = |name: &str| pairs(extra).find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<f64>().ok());
-    let amount = |name: &str| figure(name).filter(|x| x.is_finite() && *x >= 0.0);
+    let figure = |name: &str, default: f64| match pairs(extra).find(|(n, _)| *n == name) {
+        None => Ok(default),
+        Some((_, v)) => {
+            let believed = v.parse::<f64>().ok().filter(|x| (0.0..=MAX_FIGURE).contains(x));
+            believed.ok_or(bad("Req-Extra has a figure that no job can have"))
+        }
+    };
     Ok(Job {
         id: Arc::from(id),
         class,
         tenant,
-        slots: amount("slots").unwrap_or(1.0),
-        memory: amount("memory").unwrap_or(0.0),
+        slots: figure("slots", 1.0)?,
+        memory: figure("memory", 0.0)?,
         key: head.headers.get(&REQ_KEY).map(|k| xxh3_64(k.as_bytes())),
         due: arrived + deadline * 1_000_000,
     })
--- a/spanlead/tests/command.rs
+++ b/spanlead/tests/command.rs
@@ -18,7 +18,21 @@
     tenants    kraftverket, norrtrim
     zones      solna, kista
     kinds      std-2c
-    sockets    128
+    clients    64 connections, 48 requests at a time
+    to workers 32 connections
+    ");
+    // The least machine, and one whose memory would not do for what its descriptors allow.
+    let shares = |sockets: u32, memory: u32| {
+        let limits = format!(r#""memory_mb":{memory},"sockets":{sockets}"#);
+        let text = good.replace(r#""memory_mb":192,"sockets":128"#, &limits);
+        let output = String::from_utf8(run("check", &text).stdout).expect("text");
+        output.lines().skip(8).map(|line| format!("{line}\n")).collect::<String>()
+    };
+    assert_snapshot!(shares(256, 32) + &shares(1024, 32), @r"
+    clients    149 connections, 112 requests at a time
+    to workers 74 connections
+    clients    170 connections, 128 requests at a time
+    to workers 330 connections
     ");
 }
 
@@ -32,6 +46,7 @@
         good.replace(r#""aim":300000000,"deadline":7500000000,"effect":"at"#, r#""aim":-1,"effect":"at"#),
         good.replace(r#""nInstances":1"#, r#""nInstances":0"#),
         good.replace(r#""sockets":128"#, r#""sockets":8"#),
+        good.replace(r#""memory_mb":192"#, r#""memory_mb":1"#),
         good.replace("8c1f30d27a5be964", "seed"),
         good.replace(r#""settings":"#, r#""other":"#),
         good.replace(r#""seq":41"#, r#""seq":"x""#),
@@ -47,6 +62,7 @@
     spanlead: configuration key `settings.grades[2].aim`: invalid value: integer `-1`, expected u64 at line 4 column 305
     spanlead: configuration key `settings.nInstances`: does not cover this dispatcher's number
     spanlead: configuration key `limits.sockets`: must be at least 64
+    spanlead: configuration key `limits.memory_mb`: must be at least 16
     spanlead: configuration key `seed`: invalid digit found in string
     spanlead: configuration key `ROUTER_CONFIG`: missing field `settings` at line 8 column 73
     spanlead: configuration key `known.seq`: invalid type: string "x", expected u64 at line 3 column 18
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -1,7 +1,7 @@
 //! The scheduler as a process, and the clients, workers and discovery that speak to it. Everything waits for events;
 //! [`PATIENCE`] only ends a test that would hang.
 use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::mpsc::{Receiver, channel};
@@ -170,6 +170,11 @@
     pub fn closed(&mut self) -> bool {
         Message::read(&mut self.0).is_none()
     }
+
+    /// Whether the connection then ended in order, not by a reset, which can destroy what was said before.
+    pub fn ended_in_order(&mut self) -> bool {
+        matches!(self.0.read(&mut [0]), Ok(0))
+    }
 }
 
 /// A running scheduler.
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -4,6 +4,7 @@
 
 use harness::{Call, Scheduler, Server, config, nobody};
 use insta::assert_snapshot;
+use std::time::{Duration, Instant};
 
 /// A scheduler that knows one worker, `s-a`.
 fn with_worker() -> (Scheduler, Server, Server) {
@@ -83,6 +84,9 @@
         ("/status-check", good.replace("5000", "99999999999999999999"), ""),
         ("/status-check", good.replace("5000", "18446744073709551615"), ""),
         ("/status-check", good.replace("Req-Deadline-Ms: 5000\r\n", ""), ""),
+        ("/status-check", format!("{good}Req-Id: b\r\n"), ""),
+        ("/status-check", format!("{good}Req-Extra: slots=1e300\r\n"), ""),
+        ("/status-check", format!("{good}Req-Extra: memory=-1\r\n"), ""),
         ("/status-check", good.to_owned(), large.as_str()),
     ];
     let answers = cases.map(|(path, headers, body)| {
@@ -102,6 +106,9 @@
     400 Req-Deadline-Ms is not a whole number
     400 Req-Deadline-Ms is too far away
     400 Req-Deadline-Ms is missing
+    400 a header came twice
+    400 Req-Extra has a figure that no job can have
+    400 Req-Extra has a figure that no job can have
     413 the body is too large
     ");
     let mut client = scheduler.client();
@@ -114,16 +121,73 @@
     assert_eq!(scheduler.health(), "HTTP/1.1 200 OK");
 }
 
+/// A good head, but for what says how long the body is.
+fn head(id: &str, deadline_ms: u64) -> String {
+    format!(
+        "POST /status-check/x HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\nReq-Owner: norrtrim\r\nReq-Deadline-Ms: {deadline_ms}\r\n"
+    )
+}
+
 // Guards against a body that never ends: it holds its connection no longer than its deadline.
 #[test]
 fn a_body_that_stalls_is_given_up_at_its_deadline() {
     let (scheduler, worker, _discovery) = with_worker();
     let mut client = scheduler.client();
-    client.write("POST /status-check HTTP/1.1\r\nHost: h\r\nReq-Id: a\r\nReq-Owner: norrtrim\r\nReq-Deadline-Ms: 100\r\nContent-Length: 9\r\n\r\nhalf");
+    client.write(&(head("a", 100) + "Content-Length: 9\r\n\r\nhalf"));
     assert_eq!(client.answer().start, "HTTP/1.1 408 Request Timeout");
     assert!(worker.unasked());
 }
 
+// Guards against connections held for nothing: whoever says nothing, or half a request, is answered or cut within 3 s,
+// also where a whole request came before.
+#[test]
+fn half_requests_are_not_waited_for() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let began = Instant::now();
+    let mut second = scheduler.client();
+    second.write("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!(second.answer().start, "HTTP/1.1 200 OK");
+    second.write("POST /status-check HTTP/1.1\r\nHost: h\r\nReq-");
+    let (mut silent, mut endless, mut stalled) = (scheduler.client(), scheduler.client(), scheduler.client());
+    endless.write("POST /status-check HTTP/1.1\r\nHost: h\r\nReq-");
+    stalled.write(&(head("a", 60_000) + "Content-Length: 9\r\n\r\nhalf"));
+    assert_eq!(stalled.answer().start, "HTTP/1.1 408 Request Timeout");
+    assert!(silent.closed() && endless.closed() && second.closed());
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert!(worker.unasked());
+}
+
+// Guards against an error that its own reset destroys: a client in the middle of a large body can read it to the end.
+#[test]
+fn an_early_error_outlives_what_the_client_still_sends() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let mut client = scheduler.client();
+    client.write(&(head("a", 60_000) + "Content-Length: 60000000\r\n\r\n" + &"x".repeat(100_000)));
+    assert_eq!(client.answer().start, "HTTP/1.1 413 Payload Too Large");
+    assert!(client.ended_in_order());
+    // It doesn't know of the end yet, and what it sends is no reason for a reset: of two writes the second would fail.
+    client.write("x");
+    scheduler.health();
+    client.write("x");
+    assert!(worker.unasked());
+}
+
+// Guards against a request hidden in another's body, which two servers read as different requests.
+#[test]
+fn a_length_told_in_two_ways_is_refused_whole() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let hidden = head("hidden", 60_000) + "Content-Length: 0\r\n\r\n";
+    let lengths =
+        [format!("Content-Length: {}\r\n", hidden.len() + 5), "Transfer-Encoding: chunked\r\n".to_owned()];
+    for lengths in [lengths.concat(), [&*lengths[1], &*lengths[0]].concat()] {
+        let mut client = scheduler.client();
+        client.write(&format!("{}{lengths}\r\n0\r\n\r\n{hidden}", head("a", 60_000)));
+        assert_eq!(client.answer().start, "HTTP/1.1 400 Bad Request");
+        assert!(client.closed());
+    }
+    assert!(worker.unasked());
+}
+
 // Guards against two attempts under one id: a second request with the id of one still open is not taken.
 #[test]
 fn an_id_that_is_open_is_not_taken_twice() {
@@ -355,6 +419,26 @@
     assert_eq!(client.answer().body, "r");
 }
 
+// Guards usual clients in a flood of connections that say nothing: those go first, though the client's has been idle
+// longer, and each is given a while to speak.
+#[test]
+fn at_the_limit_silent_connections_go_before_proven_ones() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut client, mut notices) = (scheduler.client(), scheduler.client());
+    let mut work = |id: &str| {
+        client.job("status-check", id, 10_000);
+        take(worker.next());
+        notices.notice(id, "s-a", r#""state":"done","result":"r""#);
+        assert_eq!(client.answer().body, "r");
+    };
+    work("id-1");
+    let began = Instant::now();
+    let _silent: Vec<_> = (0..100).map(|_| scheduler.client()).collect();
+    assert_eq!(scheduler.health(), "HTTP/1.1 200 OK");
+    assert!(began.elapsed() >= Duration::from_millis(250), "{:?}", began.elapsed());
+    work("id-2");
+}
+
 // Guards a planned restart: what is owed is answered, notices still come in, nothing else is taken for long, and the
 // process ends by itself.
 #[test]
