End a request that a worker can't use with a 422, and blame no worker for it

A temporary log line in Pool::hand_over and Pool::probe: 13 handovers answered 400, all of bad clients' requests with ids of requests just answered; each went on to two or three workers in a row.

At fault: net/workers.rs (Pool::hand_over) told every answer but 202 and a declined 503 as Outcome::Error, for which the module sets the worker aside for 4 s, doubling (strike in src/choice.rs), and tries the next one.

Changed: a worker's 4xx is Handover::Unusable. The reducer answers 422 at once and ends the attempt as called off, which neither blames nor repeats.

Test: a_request_that_a_worker_can_t_use_ends_there; before, its first request ended in 503 and the worker was set aside.

--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -52,6 +52,8 @@
 pub enum Handover {
     /// The worker has the job and will tell what becomes of it.
     Taken,
+    /// The worker can't use the request, nor could another.
+    Unusable,
     /// The attempt is over.
     Ended(Outcome, Option<Report>),
 }
@@ -122,6 +124,8 @@
         retry_after: Option<Nanos>,
     },
     Failed,
+    /// A worker says that it can't use the request.
+    Unusable,
     /// The id is that of a request still open.
     Duplicate,
 }
@@ -425,6 +429,12 @@
             (Some(Stage::Offered | Stage::Leaving(_)), Handover::Ended(outcome, report)) => {
                 self.end(now, attempt, outcome, report, out);
             }
+            // The fault is the request's, so it is not the worker that must be left alone for it, and a repeat would
+            // only take it to the next one.
+            (Some(Stage::Offered | Stage::Leaving(_)), Handover::Unusable) => {
+                self.answer(attempt.0, Answer::Unusable, out);
+                self.end(now, attempt, Outcome::Cancelled, None, out);
+            }
             // It was called off meanwhile, or a worker's notice has ended it before the answer to the send came.
             _ => {}
         }
--- a/spanlead/src/net/wire.rs
+++ b/spanlead/src/net/wire.rs
@@ -125,6 +125,7 @@
             response
         }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+        Answer::Unusable => plain(StatusCode::UNPROCESSABLE_ENTITY, "the worker can't use this request\n"),
         Answer::Duplicate => plain(StatusCode::CONFLICT, "a request with this id is open\n"),
     }
 }
--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -195,6 +195,7 @@
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if reply.declined => {
                     Handover::Ended(Outcome::Full, reply.report)
                 }
+                status if status.is_client_error() => Handover::Unusable,
                 _ => Handover::Ended(Outcome::Error, reply.report),
             },
             Err(Fault::Unsent) => Handover::Ended(Outcome::ConnectFailed, None),
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -262,6 +262,21 @@
     ");
 }
 
+// Guards workers against blame for a client's fault: a request that one turns away as unusable was tried at the next one,
+// and the next, each of them then set aside for seconds. Every job here would then wait or be refused.
+#[test]
+fn a_request_that_a_worker_can_t_use_ends_there() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut bad, mut client) = (scheduler.client(), scheduler.client());
+    for round in 0..3 {
+        bad.job("status-check", &format!("bad-{round}"), 60_000);
+        worker.next().reply("400 Bad Request", "", "");
+        assert_eq!(bad.answer().start, "HTTP/1.1 422 Unprocessable Entity");
+    }
+    client.job("once", "id-1", 60_000);
+    assert_eq!(worker.next().message.header("req-id"), Some("id-1"));
+}
+
 // Guards against doing a thing twice: once the whole request is written, a break proves nothing.
 #[test]
 fn what_may_have_run_is_not_repeated() {
