Probe the workers with the fewest own slots, and let the zone decide among equals

At fault: src/choice.rs. decide probed the first three drawn, which are the workers heard of last (draw puts the warm ones in front), so busy workers were asked over and over. cost weighed a zone's 0.061 against 0.1 for each free slot of a report that may be a second old.

Tests: two in tests/behaviour.rs, both seen failing with the change taken out.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,9 @@
 const HOPS: usize = 4;
 /// The worth, as a share of a request's, that may be spent on its probes.
 const PROBE_SPEND: f64 = 0.01;
+/// How many times its price a send across zones weighs among workers with equally few own slots: at the price alone,
+/// a second free slot in a stale report went before it.
+const ZONE_WEIGHT: f64 = 8.0;
 /// Log of how much slower than the others a worker must run to be left alone for a while.
 const SLOW: f64 = 0.9;
 /// The admitted share moves by this much for a sign of room, against a target share of such signs: of
@@ -41,7 +44,7 @@
 const FULL_SIGNS: usize = 4;
 const START_TARGET: f64 = 0.5;
 /// A report that came with an answer within this time spares a probe.
-const FRESH: Nanos = 200 * MS;
+const FRESH: Nanos = 400 * MS;
 /// How often the fleet's present capacity is added up.
 const CAPACITY_EVERY: Nanos = 500 * MS;
 /// How long a send is held against a report that may not show it yet, until the reports' age is known.
@@ -602,7 +605,15 @@
         if self.bind(now, serial, Heard::Lately, out) {
             return;
         }
-        for &w in drawn.iter().take(spend as usize) {
+        // Those not heard of just now, in the order of its choice: probing the ones heard of last would ask busy
+        // workers again and again, while a free slot elsewhere stays unknown.
+        let rank = |w: &u32| {
+            let worker = &self.workers[*w as usize];
+            (self.lately(worker, now), worker.own, self.cost(worker, now))
+        };
+        let mut asked = drawn;
+        asked.sort_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
+        for w in asked.into_iter().take(spend as usize) {
             let worker = &mut self.workers[w as usize];
             if worker.probe_out.is_none() {
                 worker.probe_out = Some(now);
@@ -770,7 +781,7 @@
         let prices = &self.set.prices;
         let mut cost = 0.0;
         if worker.zone != self.set.zone {
-            cost += prices.cross_zone;
+            cost += ZONE_WEIGHT * prices.cross_zone;
         }
         if !worker.connected(&self.set.limits, now) {
             cost += prices.handshake;
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -356,6 +356,53 @@
     assert_eq!(world.sends(2), [first], "sent at once, without probes: {actions:?}");
 }
 
+// Guards against asking busy workers again and again: the one heard of last stands first among the candidates, and with
+// few probes a job its free slot elsewhere stayed unknown.
+#[test]
+fn probes_go_to_the_workers_with_the_fewest_own_slots() {
+    let mut set = probing();
+    set.prices.probe = 0.005;
+    set.limits.conn_idle = 10 * SEC;
+    let mut world = World::new(set, 3);
+    world.ready(6);
+    let mut busy = None;
+    for id in 0..2 {
+        world.ask(request(id, 2 * SEC));
+        while world.sends(id).is_empty() {
+            let only = busy.get_or_insert_with(|| world.probes[0].clone()).clone();
+            answer(&mut world, |w| Report {
+                free_slots: Some(if w == only { 4.0 } else { 0.0 }),
+                ..Report::default()
+            });
+            world.pass(50 * MS, false);
+        }
+    }
+    let busy = busy.expect("probed");
+    assert_eq!((world.sends(0), world.sends(1)), (vec![busy.clone()], vec![busy.clone()]));
+    world.end(0, 0, Outcome::Ok);
+    world.pass(SEC, false);
+    world.probes.clear();
+    world.ask(request(2, SEC));
+    assert!(world.probes.len() == 2 && !world.probes.contains(&busy), "{busy} is busy: {:?}", world.probes);
+}
+
+// Guards the price of crossing zones: a second free slot in a report that may be old went before it.
+#[test]
+fn among_equals_the_own_zone_goes_first() {
+    let mut set = probing();
+    set.prices.cross_zone = 0.061;
+    let mut world = World::new(set, 3);
+    let far = Entry { zone: 1, ..Entry::new("far", WorkerState::Ready) };
+    world.list(ListScope::Full, &[Entry::new("near", WorkerState::Ready), far]);
+    world.ask(request(1, SEC));
+    answer(&mut world, |w| Report {
+        free_slots: Some(if w == "near" { 1.0 } else { 2.0 }),
+        ..Report::default()
+    });
+    world.pass(50 * MS, false);
+    assert_eq!(world.sends(1), ["near"]);
+}
+
 #[test]
 fn a_job_goes_where_its_memory_fits() {
     let set = probing();
