--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1143,7 +1143,7 @@
                 self.subscribed = false;
                 self.asking = false;
                 self.ask_failures = (self.ask_failures + 1).min(4);
-                let wait = (SEC / 4 << self.ask_failures).min(every) as f64;
+                let wait = ((SEC / 4) << self.ask_failures).min(every) as f64;
                 let after = (wait * (0.5 + unit(&mut self.rng))) as Nanos;
                 out.push(Action::Timer { after, token: Alarm::Discovery as u64 });
             }
