Blame no worker for our own want of descriptors, and look past a closed idle connection

With all of the pool's connections in use, Pool::permit returned Fault::Unsent, which the module takes for a refused connection: it sets the worker aside for 2 s, doubling, and tries the next, which ends the same way. Pool::take_idle gave up after one closed connection and opened a new one though another still held.

Changed: Fault::NoRoom, told to the module as Moot (never sent, nobody to blame; it is refused at once); take_idle goes on.

Ruled out: load reports lost with started and running notices. PROTOCOL lets only what ends an attempt carry one.

Tests: one for each; both fail with the change taken out.

--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -29,6 +29,8 @@
 /// Why an exchange brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
+    /// None of our own descriptors came free: nothing was tried, and it says nothing of the other side.
+    NoRoom,
     /// The request's last byte was not written: no worker can have begun it.
     Unsent,
     /// The connection broke after that.
@@ -198,6 +200,7 @@
                 status if status.is_client_error() => Handover::Unusable,
                 _ => Handover::Ended(Outcome::Error, reply.report),
             },
+            Err(Fault::NoRoom) => Handover::Ended(Outcome::Moot, None),
             Err(Fault::Unsent) => Handover::Ended(Outcome::ConnectFailed, None),
             Err(Fault::Broken) => Handover::Ended(Outcome::Reset, None),
             Err(Fault::Overdue) => Handover::Ended(Outcome::Timeout, None),
@@ -225,6 +228,7 @@
                 };
                 (outcome, report)
             }
+            Err(Fault::NoRoom) => (Outcome::Moot, None),
             Err(Fault::Unsent) => (Outcome::ConnectFailed, None),
             Err(Fault::Broken) => (Outcome::Reset, None),
             Err(Fault::Overdue) => (Outcome::Timeout, None),
@@ -271,7 +275,7 @@
             self.close_longest_idle();
         }
         let permit = timeout_at(until, self.budget.clone().acquire_owned()).await;
-        permit.ok().and_then(Result::ok).ok_or(Fault::Unsent)
+        permit.ok().and_then(Result::ok).ok_or(Fault::NoRoom)
     }
 
     fn close_longest_idle(&self) {
@@ -282,11 +286,16 @@
         }
     }
 
+    /// The idle connection that was used last and still holds; those that don't end here.
     fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        let fresh = idle.get_mut(&addr)?.pop()?;
-        (fresh.since.elapsed() < self.keep && !fresh.connection.sender.is_closed())
-            .then_some(fresh.connection)
+        let list = idle.get_mut(&addr)?;
+        while let Some(Idle { connection, since }) = list.pop() {
+            if since.elapsed() < self.keep && !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     /// Keeps a connection for the next request, unless somebody may be waiting for its descriptor.
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -313,6 +313,69 @@
     }
 }
 
+// Guards against needless new connections: one that the worker closed does not hide the one before it, which still holds.
+#[test]
+fn a_closed_connection_does_not_hide_an_open_one() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let (mut client, mut other, mut notices) = (scheduler.client(), scheduler.client(), scheduler.client());
+    client.job("status-check", "id-1", 60_000);
+    let first = worker.next();
+    other.job("status-check", "id-2", 60_000);
+    let second = worker.next();
+    let kept = first.stream.peer_addr().expect("open");
+    let closed = second.stream.try_clone().expect("a handle");
+    take(first);
+    // These answers show that the 202s have been read, and then the end of the connection.
+    notices.notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+    take(second);
+    notices.notice("id-2", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(other.answer().body, "r");
+    closed.shutdown(std::net::Shutdown::Both).expect("open");
+    worker.ended();
+    scheduler.health();
+    client.job("status-check", "id-3", 60_000);
+    assert_eq!(worker.next().stream.peer_addr().expect("open"), kept);
+}
+
+// Guards workers against blame for our own want of descriptors: it passed for a refused connection, and the worker was
+// set aside for seconds.
+#[test]
+fn no_worker_is_blamed_for_our_own_want_of_descriptors() {
+    let (discovery, workers) = (Server::start(), [Server::start(), Server::start(), Server::start()]);
+    let names = ["s-a", "s-b", "s-c"];
+    let known: Vec<_> = workers.iter().zip(names).map(|(w, name)| w.entry(name, "active")).collect();
+    let edits = [(r#""sockets":128"#, r#""sockets":64"#), (r#""maxAttempts":6"#, r#""maxAttempts":1"#)];
+    let scheduler = Scheduler::start(discovery.addr, &known, &edits);
+    let ask = |id: String| {
+        let mut client = scheduler.client();
+        client.job("status-check", &id, 60_000);
+        client
+    };
+    let asked = |n: usize| {
+        let mut calls = Vec::new();
+        while calls.len() < n {
+            calls.extend(workers.iter().zip(names).filter_map(|(w, name)| Some((name, w.try_next()?))));
+        }
+        calls
+    };
+    let mut clients: Vec<_> = (0..10).map(|n| ask(format!("id-{n}"))).collect();
+    // All ten connections are taken while these wait for their 202.
+    let held = asked(10);
+    assert_eq!(ask("late".to_owned()).answer().start, "HTTP/1.1 503 Service Unavailable");
+    let mut notices = scheduler.client();
+    for (name, call) in held {
+        let id = call.message.header("req-id").expect("an id").to_owned();
+        take(call);
+        notices.notice(&id, name, r#""state":"done","result":"r""#);
+    }
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().body, "r"));
+    let _clients: Vec<_> = (0..3).map(|n| ask(format!("again-{n}"))).collect();
+    let mut used: Vec<_> = asked(3).into_iter().map(|(name, _)| name).collect();
+    used.sort_unstable();
+    assert_eq!(used, names);
+}
+
 // Guards against a reset under a request: idle connections go well before the worker's limit for them.
 #[test]
 fn an_idle_connection_is_dropped_before_the_worker_would() {
