--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,8 +26,8 @@
 const HOPS: usize = 4;
 /// The worth, as a share of a request's, that may be spent on its probes.
 const PROBE_SPEND: f64 = 0.01;
-/// How many times its price a send across zones weighs among workers with equally few own slots: at the price alone,
-/// a second free slot in a stale report went before it.
+/// How many times its price a send across zones weighs among workers with equally few own slots: at the
+/// price alone, a second free slot in a stale report went before it.
 const ZONE_WEIGHT: f64 = 8.0;
 /// Log of how much slower than the others a worker must run to be left alone for a while.
 const SLOW: f64 = 0.9;
