--- a/src/choice.rs
+++ b/src/choice.rs
@@ -605,8 +605,8 @@
         if self.bind(now, serial, Heard::Lately, out) {
             return;
         }
-        // Those not heard of just now, in the order of its choice: probing the ones heard of last would ask busy
-        // workers again and again, while a free slot elsewhere stays unknown.
+        // Those not heard of just now, in the order of its choice: probing the ones heard of last would
+        // ask busy workers again and again, while a free slot elsewhere stays unknown.
         let rank = |w: &u32| {
             let worker = &self.workers[*w as usize];
             (self.lately(worker, now), worker.own, self.cost(worker, now))
