Open a door for operators, with figures that are true and a drain that can be undone

Changed: net/operator.rs, and the calls and replies in net/wire.rs; core.rs counts the end of each request in one place (close, count) and holds the drain beside the order to stop; the Meter tells when an attempt's last byte has left. net/clients.rs: connections were ended through HTTP alone, which closes an idle one though a request may lie unread in its socket, and half a request passed for idle. Now the stream under it reports the end only when nothing is under way and nothing unread. src/choice.rs tells whom it avoids.

Ruled out: counting stalled bodies as failed jobs (a request is taken with its last byte, so they never were jobs).

--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults.
 use crate::core::Host;
 use crate::net::clients::MAX_HEAD;
+use crate::net::operator::MAX_CALLS;
 use crate::net::wire;
 use oatdock::{Dispatcher, Nanos};
 use serde::Deserialize;
@@ -22,6 +23,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     pub seed: u64,
     pub shares: Shares,
     pub peers: Option<Peers>,
@@ -44,8 +47,9 @@
 impl Shares {
     /// Clients hold up to a third of the descriptors for requests and notices come beside them, so two thirds are
     /// theirs, if half of the memory allows that; an exchange with a worker is short.
-    fn of(limits: &Limits) -> Self {
-        let descriptors = limits.sockets - OTHER_SOCKETS;
+    fn of(limits: &Limits, door: bool) -> Self {
+        let door = if door { MAX_CALLS + 1 } else { 0 };
+        let descriptors = limits.sockets - OTHER_SOCKETS - door;
         let clients = (descriptors * 2 / 3).min(limits.memory_mb * (1 << 20) / 2 / CLIENT_MEMORY);
         Shares { clients, open: clients - clients / 4, workers: descriptors / 3 }
     }
@@ -85,6 +89,7 @@
     name: Option<String>,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    operator: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -123,8 +128,8 @@
 }
 
 impl Config {
-    /// Reads the file that `$ROUTER_CONFIG` names; `$ROUTER_NAME`, `$ROUTER_LISTEN` and `$ROUTER_DISCOVERY` go before
-    /// what it says.
+    /// Reads the file that `$ROUTER_CONFIG` names; `$ROUTER_NAME`, `$ROUTER_LISTEN`, `$ROUTER_DISCOVERY` and
+    /// `$ROUTER_OPERATOR` go before what it says.
     pub fn from_environment() -> Result<Self, ConfigError> {
         Self::checked(File::read()?)
     }
@@ -156,13 +161,15 @@
         if file.limits.memory_mb < MIN_MEMORY_MB {
             return Err(ConfigError::new("limits.memory_mb", format!("must be at least {MIN_MEMORY_MB}")));
         }
+        let operator = optional_address("ROUTER_OPERATOR", file.operator)?;
         let peers = file.peer_listen.filter(|_| deployment.settings.limits.peers);
         Ok(Config {
             name: variable("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".to_owned()),
             listen: address("ROUTER_LISTEN", "listen", file.listen)?,
             discovery: address("ROUTER_DISCOVERY", "discovery", file.discovery)?,
+            operator,
             seed,
-            shares: Shares::of(&file.limits),
+            shares: Shares::of(&file.limits, operator.is_some()),
             peers: peers.map(|listen| Peers { listen, each: file.peers, all: file.peers_all }),
             known_seq: file.known.seq,
             known: file.known.hosts(&deployment.names),
@@ -191,9 +198,11 @@
 }
 
 fn address(name: &str, key: &str, from_file: Option<SocketAddr>) -> Result<SocketAddr, ConfigError> {
-    match (variable(name), from_file) {
-        (Some(text), _) => text.parse().map_err(|e| ConfigError::new(name, format!("{text}: {e}"))),
-        (None, Some(address)) => Ok(address),
-        (None, None) => Err(ConfigError::new(key, format!("is missing, and {name} is not set"))),
-    }
+    optional_address(name, from_file)?
+        .ok_or_else(|| ConfigError::new(key, format!("is missing, and {name} is not set")))
+}
+
+fn optional_address(name: &str, from_file: Option<SocketAddr>) -> Result<Option<SocketAddr>, ConfigError> {
+    let Some(text) = variable(name) else { return Ok(from_file) };
+    text.parse().map(Some).map_err(|e| ConfigError::new(name, format!("{text}: {e}")))
 }
--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -5,6 +5,7 @@
     Action, Dispatcher, Entry, Event, ListScope, Nanos, Note, Outcome, Report, RequestId, Settings,
     SettingsError, WorkerId, WorkerState,
 };
+use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,8 @@
 /// New requests are still taken for this long after the order to stop: clients go on using the connections they
 /// have, and the front needs a while to notice.
 const TAKEN_WHILE_STOPPING: Nanos = 500 * MS;
+/// After the order to drain the front needs as long to send its clients elsewhere; then idle connections may close.
+const TURNED_AWAY: Nanos = 500 * MS;
 /// How long a worker may take to acknowledge that an attempt is called off when the request is over anyway.
 const ABANDON_WAIT: Nanos = 1_000 * MS;
 /// How long a worker may take to say that it has a job: it answers at once, so one that doesn't by then has lost it.
@@ -116,6 +119,16 @@
     Tick,
     /// The order to stop: finish what is owed.
     Stop,
+    /// Operators want the clients sent away, or want them back.
+    Drain(bool),
+    /// A request of this class was turned away before it could be taken.
+    TurnedAway {
+        class: u32,
+    },
+    /// The last byte of an attempt has been written to its worker.
+    Written,
+    /// The configuration's file could not be used.
+    Unreadable,
 }
 
 /// A request's one final answer.
@@ -132,6 +145,32 @@
     Duplicate,
 }
 
+/// How a class's requests ended.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Ends {
+    /// Served.
+    pub completed: u64,
+    /// Refused: trying again is harmless.
+    pub rejected: u64,
+    pub failed: u64,
+}
+
+/// What operators are shown, as it is at one moment. All counts begin with the process.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    pub downstream_requests: BTreeMap<String, Ends>,
+    /// Attempts written whole to workers.
+    pub upstream_requests: u64,
+    /// Requests taken and not yet ended.
+    pub pending: usize,
+    /// Workers in the list, and those of them that get nothing now.
+    pub members: usize,
+    pub members_unavailable: usize,
+    /// Configuration files taken, and turned down, at SIGHUP.
+    pub config_reloads: u64,
+    pub config_reload_errors: u64,
+}
+
 /// What the reducer wants done.
 #[derive(Debug)]
 pub enum Effect {
@@ -193,6 +232,7 @@
 
 struct Request {
     id: Arc<str>,
+    class: u32,
     due: Nanos,
     answered: bool,
     attempts: Vec<Attempt>,
@@ -222,6 +262,14 @@
     timers: BTreeMap<(Nanos, u64), Timer>,
     timer_serial: u64,
     stopping: Option<Nanos>,
+    /// Clients are to go elsewhere, since then.
+    draining: Option<Nanos>,
+    /// How requests ended, by the number of their class.
+    ends: Vec<Ends>,
+    pending: usize,
+    written: u64,
+    reloads: u64,
+    reload_errors: u64,
 }
 
 impl Core {
@@ -232,7 +280,7 @@
         max_open: usize,
         discovery: SocketAddr,
     ) -> Result<Self, SettingsError> {
-        let tick = settings.tick;
+        let (tick, classes) = (settings.tick, settings.classes.len());
         Ok(Core {
             dispatcher: Dispatcher::new(settings, seed)?,
             tick,
@@ -246,12 +294,55 @@
             timers: BTreeMap::new(),
             timer_serial: 0,
             stopping: None,
+            draining: None,
+            ends: vec![Ends::default(); classes],
+            pending: 0,
+            written: 0,
+            reloads: 0,
+            reload_errors: 0,
         })
     }
 
+    /// Whether this process can serve.
+    pub fn serves(&self) -> bool {
+        self.stopping.is_none() && self.workers.values().any(|w| w.state == WorkerState::Ready)
+    }
+
     /// Whether new requests should come here.
     pub fn ready(&self) -> bool {
-        self.stopping.is_none() && self.workers.values().any(|w| w.state == WorkerState::Ready)
+        self.serves() && self.draining.is_none()
+    }
+
+    /// Whether connections are to end with the answers that they wait for.
+    pub fn closing(&self) -> bool {
+        self.stopping.is_some() || self.draining.is_some()
+    }
+
+    /// Whether the front has had its time to send clients elsewhere: those with nothing under way may be cut off.
+    pub fn turned_away(&self, now: Nanos) -> bool {
+        !self.taking(now) || self.draining.is_some_and(|t| now >= t + TURNED_AWAY)
+    }
+
+    /// What operators are shown, with the classes under their names.
+    pub fn figures(&self, now: Nanos, classes: &[String]) -> Figures {
+        let mut downstream_requests: BTreeMap<String, Ends> = BTreeMap::new();
+        for (name, ends) in classes.iter().zip(&self.ends) {
+            let sum = downstream_requests.entry(name.clone()).or_default();
+            sum.completed += ends.completed;
+            sum.rejected += ends.rejected;
+            sum.failed += ends.failed;
+        }
+        let members = || self.workers.values().filter(|w| w.state != WorkerState::Gone);
+        let avoided = |w: &&Host| w.state == WorkerState::Draining || self.dispatcher.avoids(now, &w.name);
+        Figures {
+            downstream_requests,
+            upstream_requests: self.written,
+            pending: self.pending,
+            members: members().count(),
+            members_unavailable: members().filter(avoided).count(),
+            config_reloads: self.reloads,
+            config_reload_errors: self.reload_errors,
+        }
     }
 
     /// Whether a request that comes now is still taken.
@@ -286,7 +377,10 @@
                 self.version = version;
                 self.list(now, scope, hosts, out);
             }
-            Input::Discovery(addr) => self.move_discovery(addr, out),
+            Input::Discovery(addr) => {
+                self.reloads += 1;
+                self.move_discovery(addr, out);
+            }
             Input::Probed { worker, sent, outcome, report } => {
                 let event = Event::Probed { worker: &worker, outcome, lag: now.saturating_sub(sent), report };
                 self.decide(now, event, out);
@@ -294,6 +388,11 @@
             Input::Peer { from, data } => self.decide(now, Event::Peer { from, data: &data }, out),
             Input::Tick => self.run_timers(now, out),
             Input::Stop => self.stopping = self.stopping.or(Some(now)),
+            Input::Drain(true) => self.draining = self.draining.or(Some(now)),
+            Input::Drain(false) => self.draining = None,
+            Input::TurnedAway { class } => self.count(class, &Answer::Failed),
+            Input::Written => self.written += 1,
+            Input::Unreadable => self.reload_errors += 1,
         }
     }
 
@@ -340,16 +439,20 @@
 
     fn request(&mut self, now: Nanos, ticket: RequestId, job: Job, out: &mut Vec<Effect>) {
         // Two open requests under one id could be told apart by no worker, and would be two attempts of one.
-        if self.by_id.contains_key(&job.id) {
-            return out.push(Effect::Answer { ticket, answer: Answer::Duplicate });
-        }
-        if !self.taking(now) || self.requests.len() >= self.max_open {
-            return out
-                .push(Effect::Answer { ticket, answer: Answer::Refused { retry_after: Some(300 * MS) } });
+        let full = !self.taking(now) || self.requests.len() >= self.max_open;
+        let at_once = match self.by_id.contains_key(&job.id) {
+            true => Some(Answer::Duplicate),
+            false => full.then_some(Answer::Refused { retry_after: Some(300 * MS) }),
+        };
+        if let Some(answer) = at_once {
+            self.count(job.class, &answer);
+            return out.push(Effect::Answer { ticket, answer });
         }
         self.by_id.insert(job.id.clone(), ticket);
-        let request = Request { id: job.id, due: job.due, answered: false, attempts: Vec::new() };
+        let (class, due) = (job.class, job.due);
+        let request = Request { id: job.id, class, due, answered: false, attempts: Vec::new() };
         self.requests.insert(ticket, request);
+        self.pending += 1;
         // Guards the one rule that nothing may break: should the module ever hold a request past its due time,
         // it still gets its answer.
         self.set_timer(job.due + self.tick, Timer::Overdue(ticket));
@@ -367,18 +470,38 @@
     }
 
     fn client_left(&mut self, now: Nanos, ticket: RequestId, out: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return };
-        request.answered = true;
+        if !self.close(ticket, &Answer::Failed) {
+            return;
+        }
         self.decide(now, Event::Gone(ticket), out);
         self.abandon_all(now, ticket, out);
         self.forget(ticket);
     }
 
     fn answer(&mut self, ticket: RequestId, answer: Answer, out: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return };
+        if self.close(ticket, &answer) {
+            out.push(Effect::Answer { ticket, answer });
+            self.forget(ticket);
+        }
+    }
+
+    /// The one end of a request that was taken, if it has not had it yet.
+    fn close(&mut self, ticket: RequestId, how: &Answer) -> bool {
+        let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return false };
         request.answered = true;
-        out.push(Effect::Answer { ticket, answer });
-        self.forget(ticket);
+        let class = request.class;
+        self.pending -= 1;
+        self.count(class, how);
+        true
+    }
+
+    fn count(&mut self, class: u32, how: &Answer) {
+        let Some(ends) = self.ends.get_mut(class as usize) else { return };
+        match how {
+            Answer::Served(_) => ends.completed += 1,
+            Answer::Refused { .. } => ends.rejected += 1,
+            Answer::Failed | Answer::Unusable | Answer::Duplicate => ends.failed += 1,
+        }
     }
 
     /// The one place where a request is given back: it is answered and no attempt is out.
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -3,8 +3,9 @@
 use crate::core::{Answer, AttemptId, Core, Effect, Input};
 use crate::net::clients::{Arrival, Front};
 use crate::net::discovery::Discovery;
+use crate::net::operator::{self, Asked};
 use crate::net::peers::PeerLink;
-use crate::net::wire::{Notice, Parcel};
+use crate::net::wire::{Notice, OperatorCall, OperatorReply, Parcel};
 use crate::net::workers::Pool;
 use oatdock::{ListScope, Nanos, RequestId};
 use settings::{Names, Reports};
@@ -104,6 +105,13 @@
         }
         None => None,
     };
+    let (ask, asked) = unbounded_channel();
+    if let Some(address) = config.operator {
+        let door = TcpListener::bind(address).await;
+        let door = door.map_err(|e| format!("cannot listen on {address} for operators: {e}"))?;
+        tracing::info!(operator = %door.local_addr()?, "open to operators");
+        tokio::spawn(operator::listen(door, ask));
+    }
     let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
     let mut driver = Driver {
         core: Core::new(config.deployment.settings, config.seed, shares.open, config.discovery)?,
@@ -123,7 +131,7 @@
     driver.step(known);
     tokio::spawn(front.listen(listener, shares.clients));
     tracing::info!(name = config.name, address = %bound, "listening");
-    driver.run(inbox, signals).await;
+    driver.run(inbox, asked, signals).await;
     tracing::info!("nothing is owed any more");
     Ok(())
 }
@@ -146,18 +154,25 @@
 }
 
 impl Driver {
-    async fn run(&mut self, mut inbox: UnboundedReceiver<Message>, mut signals: Signals) {
+    async fn run(
+        &mut self,
+        mut inbox: UnboundedReceiver<Message>,
+        mut asked: UnboundedReceiver<Asked>,
+        mut signals: Signals,
+    ) {
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
         while !self.core.finished(self.clock.now()) {
             let timer = self.core.next_timer().map(|at| self.clock.instant(at));
             let far = Instant::now() + SWEEP_EVERY;
             tokio::select! {
-                message = inbox.recv() => if let Some(message) = message { self.receive(message) },
-                () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
-                _ = sweep.tick() => self.sweep(),
+                biased;
+                Some(asked) = asked.recv() => self.operate(asked),
                 _ = signals.terminate.recv() => self.stop(),
                 _ = signals.interrupt.recv() => self.stop(),
                 _ = signals.hang_up.recv() => self.reload(),
+                _ = sweep.tick() => self.sweep(),
+                () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
+                message = inbox.recv() => if let Some(message) = message { self.receive(message) },
             }
         }
         self.front.close(Instant::now() + LAST_CLOSE).await;
@@ -170,21 +185,41 @@
                 tracing::info!(discovery = %addr, "configuration read again");
                 self.step(Input::Discovery(addr));
             }
-            Err(error) => tracing::error!("the new configuration is not used: {error}"),
+            Err(error) => {
+                tracing::error!("the new configuration is not used: {error}");
+                self.step(Input::Unreadable);
+            }
         }
     }
 
+    /// Does what an operator asks.
+    fn operate(&mut self, Asked { call, reply }: Asked) {
+        let answer = match call {
+            OperatorCall::Readiness if self.core.serves() => OperatorReply::Yes,
+            OperatorCall::Readiness => OperatorReply::No("no worker is known, or the process is ending\n"),
+            OperatorCall::Stats => {
+                let figures = self.core.figures(self.clock.now(), &self.names.classes);
+                OperatorReply::Figures(Box::new(figures))
+            }
+            OperatorCall::Drain(on) => {
+                tracing::info!(on, "an operator's drain");
+                self.step(Input::Drain(on));
+                OperatorReply::Yes
+            }
+        };
+        let _ = reply.send(answer);
+    }
+
     fn sweep(&mut self) {
         self.pool.sweep();
-        // An idle client would only find out from its next request that nothing new is taken here.
-        if !self.core.taking(self.clock.now()) {
+        // An idle client would only find out from its next request that nothing new should come here.
+        if self.core.turned_away(self.clock.now()) {
             self.front.close_idle();
         }
     }
 
     fn stop(&mut self) {
         tracing::info!(open = self.open.len(), "stopping");
-        self.front.closing.store(true, Ordering::Relaxed);
         self.step(Input::Stop);
     }
 
@@ -219,6 +254,7 @@
         }
         self.effects = effects;
         self.front.ready.store(self.core.ready(), Ordering::Relaxed);
+        self.front.closing.store(self.core.closing(), Ordering::Relaxed);
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -234,7 +270,9 @@
                 let Some(open) = self.open.get(&attempt.0) else { return };
                 let (parcel, until) = (open.parcel.clone(), self.clock.instant(until));
                 let handover = tokio::spawn(async move {
-                    let how = pool.hand_over(addr, &parcel, until).await;
+                    let tell = to.clone();
+                    let whole = move || drop(tell.send(Message::Input(Input::Written)));
+                    let how = pool.hand_over(addr, &parcel, until, whole).await;
                     let _ = to.send(Message::Input(Input::Handover { attempt, how }));
                 });
                 self.handovers.insert(attempt, handover);
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -11,10 +11,12 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oatdock::RequestId;
+use rustix::io::ioctl_fionread;
 use settings::Names;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -77,6 +79,10 @@
     /// It has brought a job or a notice that could be used.
     proven: AtomicBool,
     close: Notify,
+    /// It ends at once unless a whole request is being served.
+    cut: Notify,
+    /// It ends as soon as nothing is under way on it and nothing unread.
+    ending: AtomicBool,
     /// A request has begun to come in.
     begun: Notify,
     /// The socket, once HTTP is done with it.
@@ -85,7 +91,9 @@
 
 #[derive(Clone, Copy)]
 enum Stage {
-    /// A request is expected, or has begun to come in, since then.
+    /// The first request is expected since then.
+    Fresh(Instant),
+    /// A request has begun to come in; the wait for it began then.
     Reading(Instant),
     /// Nothing is under way since then.
     Idle(Instant),
@@ -98,20 +106,27 @@
 impl Line {
     fn new() -> Self {
         Line {
-            stage: Mutex::new(Stage::Reading(Instant::now())),
+            stage: Mutex::new(Stage::Fresh(Instant::now())),
             proven: AtomicBool::new(false),
             close: Notify::new(),
+            cut: Notify::new(),
+            ending: AtomicBool::new(false),
             begun: Notify::new(),
             rest: Mutex::default(),
         }
     }
 
+    fn ending(&self) -> bool {
+        self.ending.load(Ordering::Relaxed)
+    }
+
     fn stage(&self) -> Stage {
         *lock(&self.stage)
     }
 
+    /// Nothing is under way on it, not even a request that has only begun to come in.
     fn idle(&self) -> bool {
-        !matches!(self.stage(), Stage::Busy)
+        !matches!(self.stage(), Stage::Busy | Stage::Reading(_))
     }
 
     fn proven(&self) -> bool {
@@ -121,7 +136,7 @@
     /// When it is closed if nothing changes; a busy one ends with its answer.
     fn end(&self) -> Instant {
         match self.stage() {
-            Stage::Reading(since) => since + REQUEST_WAIT,
+            Stage::Fresh(since) | Stage::Reading(since) => since + REQUEST_WAIT,
             Stage::Idle(since) => since + IDLE,
             Stage::Busy | Stage::Lingering => Instant::now() + IDLE,
         }
@@ -139,7 +154,7 @@
 impl<'a> Busy<'a> {
     fn new(front: &'a Front, line: &'a Line) -> Self {
         let since = match std::mem::replace(&mut *lock(&line.stage), Stage::Busy) {
-            Stage::Reading(since) => since,
+            Stage::Fresh(since) | Stage::Reading(since) => since,
             // Its head came together with the end of the request before.
             _ => Instant::now(),
         };
@@ -154,7 +169,8 @@
     }
 }
 
-/// The stream under a connection: it notices when a request begins to come in, and leaves the socket behind.
+/// The stream under a connection: it notices when a request begins to come in, tells HTTP of the end of a connection that
+/// is to end once nothing is left to read, and leaves the socket behind.
 struct Tap {
     stream: Option<TcpStream>,
     line: Arc<Line>,
@@ -179,13 +195,19 @@
         to: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = to.filled().len();
+        let line = self.line.clone();
+        if line.ending() && line.idle() && ioctl_fionread(self.as_mut().stream()?.as_fd()) == Ok(0) {
+            return Poll::Ready(Ok(()));
+        }
         let read = self.as_mut().stream()?.poll_read(cx, to);
         if to.filled().len() > before {
-            let mut stage = lock(&self.line.stage);
-            if let Stage::Idle(_) = *stage {
-                *stage = Stage::Reading(Instant::now());
-                self.line.begun.notify_one();
+            let mut stage = lock(&line.stage);
+            match *stage {
+                Stage::Fresh(since) => *stage = Stage::Reading(since),
+                Stage::Idle(_) => *stage = Stage::Reading(Instant::now()),
+                _ => return read,
             }
+            line.begun.notify_one();
         }
         read
     }
@@ -291,7 +313,7 @@
             let rank = match line.stage() {
                 Stage::Lingering => (0, now),
                 Stage::Idle(since) if line.proven() => (2, since),
-                Stage::Idle(since) | Stage::Reading(since) if !line.proven() => {
+                Stage::Idle(since) | Stage::Fresh(since) | Stage::Reading(since) if !line.proven() => {
                     if since + GRACE > now {
                         next = next.min(since + GRACE);
                         continue;
@@ -305,8 +327,8 @@
             }
         }
         let fresh = next < now + IDLE;
-        if let Some((_, line)) = victim.filter(|((rank, _), _)| *rank < 2 || !fresh) {
-            line.close.notify_one();
+        if let Some(((rank, _), line)) = victim.filter(|((rank, _), _)| *rank < 2 || !fresh) {
+            if rank == 2 { &line.close } else { &line.cut }.notify_one();
         }
         next
     }
@@ -321,7 +343,7 @@
         if let Some(stream) = rest.filter(|_| in_order) {
             tokio::select! {
                 () = linger(stream, Instant::now() + LINGER) => {}
-                () = line.close.notified() => {}
+                () = line.cut.notified() => {}
             }
         }
     }
@@ -333,7 +355,7 @@
             async move {
                 let response = self.respond(request, &busy).await;
                 drop(busy);
-                let closing = self.closing.load(Ordering::Relaxed);
+                let closing = self.closing.load(Ordering::Relaxed) || line.ending();
                 Ok::<_, Infallible>(if closing { wire::closing(response) } else { response })
             }
         });
@@ -344,11 +366,9 @@
             tokio::select! {
                 _ = connection.as_mut() => return true,
                 () = line.begun.notified() => {}
-                () = line.close.notified() => match line.idle() && !line.proven() {
-                    true => return false,
-                    // What has begun to come in is still served.
-                    false => connection.as_mut().graceful_shutdown(),
-                },
+                // What has begun to come in is still served; the stream tells HTTP of the end when nothing is left.
+                () = line.close.notified() => line.ending.store(true, Ordering::Relaxed),
+                () = line.cut.notified() => if !matches!(line.stage(), Stage::Busy) { return false },
                 () = sleep_until(line.end()) => if line.end() <= Instant::now() { return false },
             }
         }
@@ -384,7 +404,7 @@
         // hyper goes by Transfer-Encoding and may hide a Content-Length beside it, by which another server would find
         // a second request in the body. Nobody here needs it.
         if request.headers().contains_key(TRANSFER_ENCODING) {
-            return reject(Rejected(
+            return wire::rejection(Rejected(
                 StatusCode::BAD_REQUEST,
                 "a body's length is told by Content-Length alone",
             ));
@@ -394,8 +414,8 @@
                 true => wire::plain(StatusCode::OK, "ready\n"),
                 false => wire::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
-            (&Method::POST, CALLBACK) => self.notice(request, busy).await.unwrap_or_else(reject),
-            _ => self.job(request, busy).await.unwrap_or_else(reject),
+            (&Method::POST, CALLBACK) => self.notice(request, busy).await.unwrap_or_else(wire::rejection),
+            _ => self.job(request, busy).await.unwrap_or_else(wire::rejection),
         }
     }
 
@@ -412,7 +432,10 @@
     async fn job(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
         let (head, body) = request.into_parts();
         let arrived = self.clock.now();
-        let job = wire::job(&head, &self.names, arrived)?;
+        let class = wire::class(&head, &self.names)?;
+        let job = wire::job(&head, class, &self.names, arrived).inspect_err(|_| {
+            let _ = self.to.send(Message::Input(Input::TurnedAway { class }));
+        })?;
         let body = read(body, self.clock.instant(job.due).min(busy.whole_by)).await?;
         busy.line.proven.store(true, Ordering::Relaxed);
         let ticket = RequestId(self.tickets.fetch_add(1, Ordering::Relaxed));
@@ -426,11 +449,6 @@
     }
 }
 
-/// Turns a request down. What is left of it would be read as the next one, so the connection ends.
-fn reject(Rejected(status, why): Rejected) -> Response<Body> {
-    wire::closing(wire::plain(status, format!("{why}\n")))
-}
-
 /// Reads on, within bounds, until the other side has closed.
 async fn linger(mut stream: TcpStream, until: Instant) {
     let mut buffer = [0; 8 * 1024];
--- a/spanlead/src/net/mod.rs
+++ b/spanlead/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! All reading and writing.
 pub mod clients;
 pub mod discovery;
+pub mod operator;
 pub mod peers;
 pub mod wire;
 pub mod workers;
--- a/spanlead/src/net/wire.rs
+++ b/spanlead/src/net/wire.rs
@@ -1,5 +1,5 @@
 //! The messages on the sockets: each is decoded once into a small typed value, and encoded once.
-use crate::core::{Answer, Host, Job, News};
+use crate::core::{Answer, Figures as Shown, Host, Job, News};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER};
@@ -57,10 +57,14 @@
     Rejected(StatusCode::BAD_REQUEST, why)
 }
 
-/// Reads a job's head; `arrived` is when it came, which turns its span into an instant.
-pub fn job(head: &Parts, names: &Names, arrived: Nanos) -> Result<Job, Rejected> {
+/// Reads the class of a job.
+pub fn class(head: &Parts, names: &Names) -> Result<u32, Rejected> {
     let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
-    let class = position(&names.classes, class).ok_or(Rejected(StatusCode::NOT_FOUND, "unknown class"))?;
+    position(&names.classes, class).ok_or(Rejected(StatusCode::NOT_FOUND, "unknown class"))
+}
+
+/// Reads the rest of a job's head; `arrived` is when it came, which turns its span into an instant.
+pub fn job(head: &Parts, class: u32, names: &Names, arrived: Nanos) -> Result<Job, Rejected> {
     if head.method != Method::POST {
         return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST"));
     }
@@ -137,12 +141,64 @@
     response
 }
 
+/// Turns a request down. What is left of it would be read as the next one, so the connection ends.
+pub fn rejection(Rejected(status, why): Rejected) -> Response<Body> {
+    closing(plain(status, format!("{why}\n")))
+}
+
 /// Tells the other side that the connection ends after this.
 pub fn closing(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
+// ---------------------------------------------------------------- operators
+
+/// What operators ask for.
+#[derive(Clone, Copy, Debug)]
+pub enum OperatorCall {
+    Readiness,
+    Stats,
+    Drain(bool),
+}
+
+/// What they are told.
+#[derive(Debug)]
+pub enum OperatorReply {
+    Yes,
+    No(&'static str),
+    Figures(Box<Shown>),
+}
+
+/// Reads an operator's call.
+pub fn operator_call(method: &Method, path: &str) -> Result<OperatorCall, Rejected> {
+    let (wanted, call) = match path {
+        "/ops/readiness" => (Method::GET, OperatorCall::Readiness),
+        "/ops/stats" => (Method::GET, OperatorCall::Stats),
+        "/ops/drain/start" => (Method::POST, OperatorCall::Drain(true)),
+        "/ops/drain/stop" => (Method::POST, OperatorCall::Drain(false)),
+        _ => return Err(Rejected(StatusCode::NOT_FOUND, "no such call")),
+    };
+    let other = Rejected(StatusCode::METHOD_NOT_ALLOWED, "this call has another method");
+    (*method == wanted).then_some(call).ok_or(other)
+}
+
+/// The answer to an operator's call.
+pub fn operator_reply(reply: OperatorReply) -> Response<Body> {
+    match reply {
+        OperatorReply::Yes => plain(StatusCode::OK, "yes\n"),
+        OperatorReply::No(why) => plain(StatusCode::SERVICE_UNAVAILABLE, why),
+        OperatorReply::Figures(figures) => match serde_json::to_vec(&figures) {
+            Ok(text) => {
+                let mut response = plain(StatusCode::OK, text);
+                response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                response
+            }
+            Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "the figures can't be written\n"),
+        },
+    }
+}
+
 // ---------------------------------------------------------------- workers
 
 /// A worker's notice of a job.
--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -49,8 +49,13 @@
     left: AtomicU64,
     /// How much of the blank line that ends the head has been written; 4 is all of it.
     head_end: AtomicU64,
+    /// Told once, when the present request's last byte has been written.
+    whole: Mutex<Option<OnWhole>>,
 }
 
+/// What is to be done when a request's last byte has been written.
+type OnWhole = Box<dyn FnOnce() + Send>;
+
 impl Meter {
     fn begin(&self, body: u64) {
         self.left.store(body, Ordering::Relaxed);
@@ -72,6 +77,11 @@
         self.head_end.store(matched, Ordering::Relaxed);
         let left = self.left.load(Ordering::Relaxed);
         self.left.store(left.saturating_sub(rest.len() as u64), Ordering::Relaxed);
+        if self.all_written()
+            && let Some(tell) = lock(&self.whole).take()
+        {
+            tell();
+        }
     }
 
     fn all_written(&self) -> bool {
@@ -190,9 +200,22 @@
 
     /// Hands an attempt to its worker, over a connection of its own: a reset of one that was kept leaves open whether
     /// the job has run, which costs far more than a handshake. Probes and calls that abandon a job use kept ones.
-    pub async fn hand_over(&self, addr: SocketAddr, parcel: &Parcel, until: Instant) -> Handover {
+    ///
+    /// `whole` is told when the last byte has been written, also if nobody waits for the answer by then.
+    pub async fn hand_over(
+        &self,
+        addr: SocketAddr,
+        parcel: &Parcel,
+        until: Instant,
+        whole: impl FnOnce() + Send + 'static,
+    ) -> Handover {
         let left_ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        match self.call_anew(addr, &|| Some(wire::handover(parcel, left_ms)), until).await {
+        let reply = async {
+            let connection = self.connect_anew(addr, until).await?;
+            *lock(&connection.meter.whole) = Some(Box::new(whole));
+            self.call_over(addr, connection, &|| Some(wire::handover(parcel, left_ms)), until).await
+        };
+        match reply.await {
             Ok(reply) => match reply.status {
                 StatusCode::ACCEPTED => Handover::Taken,
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if reply.declined => {
@@ -251,20 +274,14 @@
                 other => return other,
             }
         }
-        self.call_anew(addr, &request, until).await
+        let new = self.connect_anew(addr, until).await?;
+        self.call_over(addr, new, &request, until).await
     }
 
-    /// One exchange over a new connection.
-    async fn call_anew(
-        &self,
-        addr: SocketAddr,
-        request: &impl Fn() -> Option<Request<Body>>,
-        until: Instant,
-    ) -> Result<Reply, Fault> {
+    async fn connect_anew(&self, addr: SocketAddr, until: Instant) -> Result<Connection, Fault> {
         let up_by = until.min(Instant::now() + self.connect_wait);
         let permit = self.permit(up_by).await?;
-        let new = connect(addr, up_by, Some(permit)).await?;
-        self.call_over(addr, new, request, until).await
+        connect(addr, up_by, Some(permit)).await
     }
 
     async fn call_over(
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -137,6 +137,12 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    fn connect(to: SocketAddr) -> Self {
+        let stream = TcpStream::connect(to).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        Client(BufReader::new(stream))
+    }
+
     pub fn write(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).expect("the scheduler reads");
     }
@@ -181,6 +187,7 @@
 pub struct Scheduler {
     child: Child,
     pub addr: SocketAddr,
+    operator: SocketAddr,
     log: Receiver<String>,
 }
 
@@ -191,18 +198,22 @@
         let text = edits.iter().fold(text, |text, (from, to)| text.replace(from, to));
         let mut command = command("serve", &text);
         // As in service, where the variable says the same as the file does at the start.
-        command.env("ROUTER_DISCOVERY", discovery.to_string());
+        command.env("ROUTER_DISCOVERY", discovery.to_string()).env("ROUTER_OPERATOR", "127.0.0.1:0");
         let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let (to, log) = channel();
         thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(to.send(line))));
-        let mut scheduler = Scheduler { child, addr: nobody(), log };
-        let line = scheduler.logged("address=");
-        scheduler.addr =
-            line.split_once("address=").and_then(|(_, a)| a.trim().parse().ok()).expect("an address");
+        let mut scheduler = Scheduler { child, addr: nobody(), operator: nobody(), log };
+        scheduler.operator = scheduler.logged_address("operator=");
+        scheduler.addr = scheduler.logged_address("address=");
         scheduler
     }
 
+    fn logged_address(&self, key: &str) -> SocketAddr {
+        let line = self.logged(key);
+        line.split_once(key).and_then(|(_, a)| a.trim().parse().ok()).expect("an address")
+    }
+
     /// The next line of the log that holds this text.
     pub fn logged(&self, text: &str) -> String {
         let next = || self.log.recv_timeout(PATIENCE).expect("the log goes on");
@@ -216,9 +227,21 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).expect("it listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
-        Client(BufReader::new(stream))
+        Client::connect(self.addr)
+    }
+
+    /// A connection to the operators' door.
+    pub fn operator(&self) -> Client {
+        Client::connect(self.operator)
+    }
+
+    /// An operator's call: the answer's status and body.
+    pub fn operate(&self, call: &str) -> String {
+        let mut door = self.operator();
+        door.write(&format!("{call} HTTP/1.1\r\nHost: operator\r\nContent-Length: 0\r\n\r\n"));
+        let answer = door.answer();
+        assert!(door.closed(), "one call a connection");
+        format!("{} {}", &answer.start[9..12], answer.body)
     }
 
     /// The status line of the health check.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,6 +106,11 @@
         self.idle_conns > 0 && now <= self.used_at + limits.conn_idle
     }
 
+    /// It turned a job away a while ago, or failed at one.
+    fn avoided(&self, now: Nanos) -> bool {
+        self.full_until > now || self.ejected_until > now
+    }
+
     /// The part of its capacity that it surely has by now.
     fn ramp(&self, rules: &Rules, now: Nanos) -> f64 {
         let Some(started) = self.started else { return 1.0 };
@@ -456,6 +461,12 @@
         ids.map(|w| self.workers[w as usize].id.clone()).collect()
     }
 
+    /// Whether a worker that the list has as ready is left alone for now.
+    pub fn avoids(&self, now: Nanos, worker: &str) -> bool {
+        let worker = self.index.get(worker).map(|&w| &self.workers[w as usize]);
+        !self.panic() && worker.is_some_and(|w| w.avoided(now))
+    }
+
     fn members(&mut self, now: Nanos, scope: ListScope, entries: &[Entry<'_>], out: &mut Vec<Action>) {
         let mut listed = vec![false; self.workers.len()];
         for entry in entries {
@@ -1196,7 +1207,7 @@
             return false;
         }
         let worker = &mut self.workers[at as usize];
-        if !self.panic && (worker.full_until > now || worker.ejected_until > now) {
+        if !self.panic && worker.avoided(now) {
             return false;
         }
         let rules = &self.set.rules;
