Let a second process take over by an inherited socket, passing notices to whom they are for

Changed: net/relay.rs is the link between the two; clients::inherited takes the platform's socket (the one unsafe call, so the lint is "deny" with an exception in place of "forbid"); driver.rs passes notices of jobs that it does not know, shares the machine out anew when a process comes or goes, and leaves the peers' address to be taken later. The clients' budget is a count that can change, the workers' semaphore gives permits up as they come free.

Test: one, an upgrade with a file left behind, the peers' address taken, half a request on the old process and notices that reach the wrong one. It fails without each of: passing, the wait for the peers' address, removing the file, the end of accepting, serving what still comes on accepted connections.

--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -8,10 +8,13 @@
 use settings::{BadField, Deployment, Options};
 use std::fmt;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 
 /// Fewer descriptors, or less memory, than this leave nothing to serve with.
 const MIN_SOCKETS: usize = 64;
 const MIN_MEMORY_MB: usize = 16;
+/// Descriptors that are left for clients and workers whatever else is wanted.
+const MIN_SHARED: usize = 12;
 /// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
 /// output, discovery, peers, and some to spare.
 const OTHER_SOCKETS: usize = 32;
@@ -26,7 +29,11 @@
     /// Where operators call, if they may.
     pub operator: Option<SocketAddr>,
     pub seed: u64,
+    /// The listening socket that this process was given, in place of one of its own at `listen`.
+    pub listen_fd: Option<RawFd>,
     pub shares: Shares,
+    /// While another process of this scheduler runs, each keeps to these.
+    pub half: Shares,
     pub peers: Option<Peers>,
     pub known_seq: u64,
     pub known: Vec<Host>,
@@ -49,7 +56,7 @@
     /// theirs, if half of the memory allows that; an exchange with a worker is short.
     fn of(limits: &Limits, door: bool) -> Self {
         let door = if door { MAX_CALLS + 1 } else { 0 };
-        let descriptors = limits.sockets - OTHER_SOCKETS - door;
+        let descriptors = limits.sockets.saturating_sub(OTHER_SOCKETS + door).max(MIN_SHARED);
         let clients = (descriptors * 2 / 3).min(limits.memory_mb * (1 << 20) / 2 / CLIENT_MEMORY);
         Shares { clients, open: clients - clients / 4, workers: descriptors / 3 }
     }
@@ -116,6 +123,12 @@
     }
 }
 
+impl Limits {
+    fn half(&self) -> Self {
+        Limits { sockets: self.sockets / 2, memory_mb: self.memory_mb / 2 }
+    }
+}
+
 impl File {
     fn read() -> Result<Self, ConfigError> {
         let path =
@@ -169,7 +182,9 @@
             discovery: address("ROUTER_DISCOVERY", "discovery", file.discovery)?,
             operator,
             seed,
+            listen_fd: descriptor("ROUTER_LISTEN_FD")?,
             shares: Shares::of(&file.limits, operator.is_some()),
+            half: Shares::of(&file.limits.half(), operator.is_some()),
             peers: peers.map(|listen| Peers { listen, each: file.peers, all: file.peers_all }),
             known_seq: file.known.seq,
             known: file.known.hosts(&deployment.names),
@@ -202,6 +217,12 @@
         .ok_or_else(|| ConfigError::new(key, format!("is missing, and {name} is not set")))
 }
 
+fn descriptor(name: &str) -> Result<Option<RawFd>, ConfigError> {
+    let Some(text) = variable(name) else { return Ok(None) };
+    let number = text.parse::<u16>().map_err(|e| ConfigError::new(name, format!("{text}: {e}")))?;
+    Ok(Some(number.into()))
+}
+
 fn optional_address(name: &str, from_file: Option<SocketAddr>) -> Result<Option<SocketAddr>, ConfigError> {
     let Some(text) = variable(name) else { return Ok(from_file) };
     text.parse().map(Some).map_err(|e| ConfigError::new(name, format!("{text}: {e}")))
--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -11,11 +11,9 @@
 use std::sync::Arc;
 
 const MS: Nanos = 1_000_000;
-/// New requests are still taken for this long after the order to stop: clients go on using the connections they
-/// have, and the front needs a while to notice.
-const TAKEN_WHILE_STOPPING: Nanos = 500 * MS;
-/// After the order to drain the front needs as long to send its clients elsewhere; then idle connections may close.
-const TURNED_AWAY: Nanos = 500 * MS;
+/// How long the front may need to notice the order to stop or to drain: clients go on using the connections they have,
+/// and new requests are still taken. Then idle connections may close.
+const TURN_AWAY: Nanos = 500 * MS;
 /// How long a worker may take to acknowledge that an attempt is called off when the request is over anyway.
 const ABANDON_WAIT: Nanos = 1_000 * MS;
 /// How long a worker may take to say that it has a job: it answers at once, so one that doesn't by then has lost it.
@@ -121,6 +119,11 @@
     Stop,
     /// Operators want the clients sent away, or want them back.
     Drain(bool),
+    /// At most so many requests may be open from now on, and whether another process is there to take over.
+    Share {
+        open: usize,
+        successor: bool,
+    },
     /// A request of this class was turned away before it could be taken.
     TurnedAway {
         class: u32,
@@ -262,6 +265,8 @@
     timers: BTreeMap<(Nanos, u64), Timer>,
     timer_serial: u64,
     stopping: Option<Nanos>,
+    /// Another process takes new connections in place of this one when it stops.
+    successor: bool,
     /// Clients are to go elsewhere, since then.
     draining: Option<Nanos>,
     /// How requests ended, by the number of their class.
@@ -294,6 +299,7 @@
             timers: BTreeMap::new(),
             timer_serial: 0,
             stopping: None,
+            successor: false,
             draining: None,
             ends: vec![Ends::default(); classes],
             pending: 0,
@@ -320,7 +326,7 @@
 
     /// Whether the front has had its time to send clients elsewhere: those with nothing under way may be cut off.
     pub fn turned_away(&self, now: Nanos) -> bool {
-        !self.taking(now) || self.draining.is_some_and(|t| now >= t + TURNED_AWAY)
+        [self.stopping, self.draining].into_iter().flatten().any(|t| now >= t + TURN_AWAY)
     }
 
     /// What operators are shown, with the classes under their names.
@@ -345,19 +351,25 @@
         }
     }
 
-    /// Whether a request that comes now is still taken.
-    pub fn taking(&self, now: Nanos) -> bool {
-        self.stopping.is_none_or(|t| now < t + TAKEN_WHILE_STOPPING)
+    /// Whether a request that comes now is still taken. With a successor no new connection comes here, and what those
+    /// that were accepted still bring is served.
+    fn taking(&self, now: Nanos) -> bool {
+        self.successor || self.stopping.is_none_or(|t| now < t + TURN_AWAY)
     }
 
-    /// Whether a stopping scheduler owes nothing any more and nobody new can still come.
+    /// Whether a stopping scheduler owes nothing any more and the front has had its time.
     pub fn finished(&self, now: Nanos) -> bool {
-        !self.taking(now) && self.requests.is_empty()
+        self.stopping.is_some_and(|t| now >= t + TURN_AWAY) && self.requests.is_empty()
+    }
+
+    /// Whether this request is open here.
+    pub fn knows(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
     }
 
     /// When [`Input::Tick`] is next wanted.
-    pub fn next_timer(&self) -> Option<Nanos> {
-        let stop = self.stopping.map(|t| t + TAKEN_WHILE_STOPPING).filter(|_| self.requests.is_empty());
+    pub fn next_timer(&self, now: Nanos) -> Option<Nanos> {
+        let stop = self.stopping.map(|t| t + TURN_AWAY).filter(|t| *t > now && self.requests.is_empty());
         self.timers.first_key_value().map(|((at, _), _)| *at).into_iter().chain(stop).min()
     }
 
@@ -390,6 +402,7 @@
             Input::Stop => self.stopping = self.stopping.or(Some(now)),
             Input::Drain(true) => self.draining = self.draining.or(Some(now)),
             Input::Drain(false) => self.draining = None,
+            Input::Share { open, successor } => (self.max_open, self.successor) = (open, successor),
             Input::TurnedAway { class } => self.count(class, &Answer::Failed),
             Input::Written => self.written += 1,
             Input::Unreadable => self.reload_errors += 1,
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -1,15 +1,18 @@
 //! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
-use crate::config::Config;
+use crate::config::{Config, Peers, Shares};
 use crate::core::{Answer, AttemptId, Core, Effect, Input};
-use crate::net::clients::{Arrival, Front};
+use crate::net::clients::{self, Arrival, Front};
 use crate::net::discovery::Discovery;
 use crate::net::operator::{self, Asked};
 use crate::net::peers::PeerLink;
+use crate::net::relay::{self, Kin, Link, Passed};
 use crate::net::wire::{Notice, OperatorCall, OperatorReply, Parcel};
 use crate::net::workers::Pool;
+use bytes::Bytes;
 use oatdock::{ListScope, Nanos, RequestId};
 use settings::{Names, Reports};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -54,7 +57,14 @@
 /// What reaches the driver.
 pub enum Message {
     Arrival(Arrival),
-    Notice(Notice),
+    /// A worker's notice: its text, the link that it came over, and who waits to hear that it has arrived.
+    Notice {
+        notice: Notice,
+        body: Bytes,
+        from: Option<Link>,
+        heard: Option<oneshot::Sender<()>>,
+    },
+    Kin(Kin),
     Input(Input),
 }
 
@@ -77,6 +87,16 @@
     /// The watch of discovery, if one has been begun.
     watch: Option<JoinHandle<()>>,
     peers: Option<PeerLink>,
+    /// The peers whose address another process still holds.
+    peers_wanted: Option<Peers>,
+    /// The other processes of this scheduler, while one takes over from another.
+    predecessor: Option<Link>,
+    successor: Option<Link>,
+    /// What this process may hold alone, and beside another.
+    shares: [Shares; 2],
+    /// The listening socket, until this process can serve where another still does.
+    listener: Option<TcpListener>,
+    accepting: Option<JoinHandle<()>>,
     to: UnboundedSender<Message>,
     effects: Vec<Effect>,
 }
@@ -88,23 +108,25 @@
     let connect_wait = Duration::from_nanos(limits.connect_timeout);
     let reports = config.deployment.reports;
     let names = Arc::new(config.deployment.names);
-    let shares = config.shares;
 
     // Before anything is promised: until then these signals end the process.
     let signals = Signals::new()?;
     let clock = Clock::new();
     let (to, inbox) = unbounded_channel();
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let bound = listener.local_addr()?;
-    let peers = match config.peers {
-        Some(peers) => {
-            let address = peers.listen;
-            let link = PeerLink::open(peers, to.clone()).await;
-            Some(link.map_err(|e| format!("cannot listen on {address} for peers: {e}"))?)
+    let mut predecessor = None;
+    let listener = match config.listen_fd {
+        Some(fd) => {
+            let path = relay::path(&config.name);
+            predecessor = relay::predecessor(&path, &to).await;
+            tokio::spawn(relay::listen(path, to.clone()));
+            clients::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?
+        }
+        None => {
+            let listener = TcpListener::bind(config.listen).await;
+            listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?
         }
-        None => None,
     };
+    let bound = listener.local_addr()?;
     let (ask, asked) = unbounded_channel();
     if let Some(address) = config.operator {
         let door = TcpListener::bind(address).await;
@@ -112,24 +134,32 @@
         tracing::info!(operator = %door.local_addr()?, "open to operators");
         tokio::spawn(operator::listen(door, ask));
     }
-    let front = Arc::new(Front::new(names.clone(), clock, to.clone()));
+    let shares = [config.shares, config.half];
+    let share = shares[usize::from(predecessor.is_some())];
+    let front = Arc::new(Front::new(names.clone(), clock, to.clone(), share.clients));
     let mut driver = Driver {
-        core: Core::new(config.deployment.settings, config.seed, shares.open, config.discovery)?,
+        core: Core::new(config.deployment.settings, config.seed, share.open, config.discovery)?,
         clock,
         reports,
         open: HashMap::new(),
         handovers: HashMap::new(),
-        pool: Arc::new(Pool::new(shares.workers, keep, connect_wait, reports)),
+        pool: Arc::new(Pool::new(share.workers, keep, connect_wait, reports)),
         front: front.clone(),
         names,
         watch: None,
-        peers,
+        peers: None,
+        peers_wanted: config.peers,
+        predecessor,
+        successor: None,
+        shares,
+        listener: Some(listener),
+        accepting: None,
         to,
         effects: Vec::new(),
     };
     let known = Input::List { scope: ListScope::Cached, version: config.known_seq, hosts: config.known };
+    driver.open_peers()?;
     driver.step(known);
-    tokio::spawn(front.listen(listener, shares.clients));
     tracing::info!(name = config.name, address = %bound, "listening");
     driver.run(inbox, asked, signals).await;
     tracing::info!("nothing is owed any more");
@@ -161,8 +191,8 @@
         mut signals: Signals,
     ) {
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
-        while !self.core.finished(self.clock.now()) {
-            let timer = self.core.next_timer().map(|at| self.clock.instant(at));
+        while !self.finished() {
+            let timer = self.core.next_timer(self.clock.now()).map(|at| self.clock.instant(at));
             let far = Instant::now() + SWEEP_EVERY;
             tokio::select! {
                 biased;
@@ -212,14 +242,93 @@
 
     fn sweep(&mut self) {
         self.pool.sweep();
+        if let Err(error) = self.open_peers() {
+            tracing::warn!("{error}");
+        }
         // An idle client would only find out from its next request that nothing new should come here.
         if self.core.turned_away(self.clock.now()) {
             self.front.close_idle();
         }
     }
 
+    /// With a successor this process must also be done with every connection that it accepted: what they still bring is
+    /// served here.
+    fn finished(&self) -> bool {
+        self.core.finished(self.clock.now()) && (self.successor.is_none() || self.front.empty())
+    }
+
+    /// Listens for peers. While another process of this scheduler holds the address, that can wait.
+    fn open_peers(&mut self) -> Result<(), String> {
+        let Some(peers) = &self.peers_wanted else { return Ok(()) };
+        match PeerLink::open(peers, self.to.clone()) {
+            Ok(link) => (self.peers, self.peers_wanted) = (Some(link), None),
+            Err(error) if error.kind() == ErrorKind::AddrInUse && self.predecessor.is_some() => {}
+            Err(error) => return Err(format!("cannot listen on {} for peers: {error}", peers.listen)),
+        }
+        Ok(())
+    }
+
+    /// Another process of this scheduler has come or gone.
+    fn kin(&mut self, kin: Kin) {
+        match kin {
+            Kin::Successor(link) => self.successor = Some(link),
+            Kin::Gone(link) => {
+                for side in [&mut self.predecessor, &mut self.successor] {
+                    side.take_if(|l| l.same_channel(&link));
+                }
+            }
+        }
+        let (predecessor, successor) = (self.predecessor.is_some(), self.successor.is_some());
+        tracing::info!(predecessor, successor, "other processes of this scheduler");
+        let share = self.shares[usize::from(predecessor || successor)];
+        self.front.set_budget(share.clients);
+        self.pool.set_budget(share.workers);
+        self.step(Input::Share { open: share.open, successor });
+    }
+
+    /// A notice of a job that is not open here is for another process of this scheduler, if there is one.
+    fn notice(
+        &mut self,
+        mut notice: Notice,
+        body: Bytes,
+        from: Option<Link>,
+        heard: Option<oneshot::Sender<()>>,
+    ) {
+        let mut passed = Vec::new();
+        if !self.core.knows(&notice.id) {
+            for link in [&self.predecessor, &self.successor].into_iter().flatten() {
+                if from.as_ref().is_none_or(|f| !f.same_channel(link)) {
+                    let (there, arrived) = oneshot::channel();
+                    let _ = link.send(Passed { body: body.clone(), there });
+                    passed.push(arrived);
+                }
+            }
+        }
+        if passed.is_empty() {
+            let news = notice.news();
+            let report = notice.load.map(|f| self.reports.report(f));
+            self.step(Input::News { id: notice.id, from: notice.from, news, report });
+            let _ = heard.map(|heard| heard.send(()));
+            return;
+        }
+        tokio::spawn(async move {
+            for arrived in passed {
+                // One that has gone takes its jobs with it; the worker asks again and is then answered here.
+                if arrived.await.is_err() {
+                    return;
+                }
+            }
+            let _ = heard.map(|heard| heard.send(()));
+        });
+    }
+
     fn stop(&mut self) {
         tracing::info!(open = self.open.len(), "stopping");
+        // The successor takes what comes from now on, by both addresses.
+        if let Some(accepting) = self.accepting.take_if(|_| self.successor.is_some()) {
+            accepting.abort();
+        }
+        (self.peers, self.peers_wanted) = (None, None);
         self.step(Input::Stop);
     }
 
@@ -229,11 +338,8 @@
                 self.open.insert(ticket, Open { reply, parcel: Arc::new(parcel) });
                 self.step(Input::Request { ticket, job });
             }
-            Message::Notice(mut notice) => {
-                let news = notice.news();
-                let report = notice.load.map(|f| self.reports.report(f));
-                self.step(Input::News { id: notice.id, from: notice.from, news, report });
-            }
+            Message::Notice { notice, body, from, heard } => self.notice(notice, body, from, heard),
+            Message::Kin(kin) => self.kin(kin),
             Message::Input(input) => {
                 if let Input::Handover { attempt, .. } = &input {
                     self.handovers.remove(attempt);
@@ -255,6 +361,12 @@
         self.effects = effects;
         self.front.ready.store(self.core.ready(), Ordering::Relaxed);
         self.front.closing.store(self.core.closing(), Ordering::Relaxed);
+        // Beside another that serves, nobody should meet one that can't yet.
+        if (self.predecessor.is_none() || self.core.serves())
+            && let Some(listener) = self.listener.take()
+        {
+            self.accepting = Some(tokio::spawn(self.front.clone().listen(listener)));
+        }
     }
 
     fn perform(&mut self, effect: Effect) {
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -12,20 +12,21 @@
 use hyper_util::rt::TokioIo;
 use oatdock::RequestId;
 use rustix::io::ioctl_fionread;
+use rustix::net::sockopt::socket_acceptconn;
 use settings::Names;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, FromRawFd, OwnedFd, RawFd};
 use std::pin::{Pin, pin};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{Body, CALLBACK, HEALTH, MAX_BODY, Notice, Parcel, Rejected};
 
@@ -45,6 +46,8 @@
 /// closed with unread input is reset, which can destroy the answer on its way.
 const LINGER_BYTES: usize = 256 * 1024;
 const LINGER: Duration = Duration::from_millis(500);
+/// How long a notice may take to reach the process that it is for.
+const PASS_WAIT: Duration = Duration::from_secs(1);
 /// The pause after an accept that failed for want of something in the system.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -67,6 +70,8 @@
     ended: Notify,
     /// A connection has become idle.
     idled: Notify,
+    /// The most connections at a time.
+    budget: AtomicUsize,
     /// Requests can be taken.
     pub ready: AtomicBool,
     /// Connections are to end with the answer that they wait for.
@@ -242,9 +247,25 @@
     }
 }
 
+/// The listening socket that this process was given as an open descriptor.
+pub fn inherited(fd: RawFd) -> io::Result<TcpListener> {
+    #[expect(
+        unsafe_code,
+        reason = "a number in the environment is all that tells of an inherited descriptor"
+    )]
+    // SAFETY: the platform gave this number to this process for good; it is taken here only, once, at the start.
+    let socket = unsafe { OwnedFd::from_raw_fd(fd) };
+    if !socket_acceptconn(&socket)? {
+        return Err(io::Error::other("it does not listen"));
+    }
+    let listener = std::net::TcpListener::from(socket);
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 impl Front {
-    /// A front whose requests go to `to`.
-    pub fn new(names: Arc<Names>, clock: Clock, to: UnboundedSender<Message>) -> Self {
+    /// A front whose requests go to `to` and that holds at most `budget` connections.
+    pub fn new(names: Arc<Names>, clock: Clock, to: UnboundedSender<Message>, budget: usize) -> Self {
         Front {
             names,
             clock,
@@ -253,16 +274,16 @@
             lines: Mutex::default(),
             ended: Notify::new(),
             idled: Notify::new(),
+            budget: AtomicUsize::new(budget),
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
         }
     }
 
-    /// Accepts connections for ever, at most `budget` at a time: at the limit it waits for a descriptor before
-    /// it accepts.
-    pub async fn listen(self: Arc<Self>, listener: TcpListener, budget: usize) {
-        let budget = Arc::new(Semaphore::new(budget));
-        while let Some(permit) = self.permit(&budget).await {
+    /// Accepts connections for ever: at the limit it waits for a descriptor before it accepts.
+    pub async fn listen(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            self.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Entered here, not by the task, which may start much later: what is not entered can't be asked
@@ -273,7 +294,6 @@
                     let front = self.clone();
                     tokio::spawn(async move {
                         front.connection(stream, &line).await;
-                        drop(permit);
                         lock(&front.lines).remove(&number);
                         front.ended.notify_waiters();
                     });
@@ -286,15 +306,30 @@
         }
     }
 
-    /// One connection's share of the budget; at the limit another makes room, or the first to become idle.
-    async fn permit(&self, budget: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    /// Changes how many connections are held at the most; those above it make room one by one.
+    pub fn set_budget(&self, budget: usize) {
+        self.budget.store(budget, Ordering::Relaxed);
+        for _ in budget..lock(&self.lines).len() {
+            self.make_room();
+        }
+        self.ended.notify_waiters();
+    }
+
+    /// Whether no connection is left.
+    pub fn empty(&self) -> bool {
+        lock(&self.lines).is_empty()
+    }
+
+    /// Waits for room for one more connection; at the limit another makes it, or the first to become idle.
+    async fn room(&self) {
         loop {
-            let look_again = match budget.available_permits() {
-                0 => self.make_room(),
-                _ => Instant::now() + IDLE,
-            };
+            let ended = self.ended.notified();
+            if lock(&self.lines).len() < self.budget.load(Ordering::Relaxed) {
+                return;
+            }
+            let look_again = self.make_room();
             tokio::select! {
-                permit = budget.clone().acquire_owned() => return permit.ok(),
+                () = ended => {}
                 () = self.idled.notified() => {}
                 () = sleep_until(look_again) => {}
             }
@@ -425,8 +460,13 @@
             return Ok(wire::plain(StatusCode::BAD_REQUEST, "not a notice\n"));
         };
         busy.line.proven.store(true, Ordering::Relaxed);
-        let _ = self.to.send(Message::Notice(notice));
-        Ok(wire::plain(StatusCode::OK, ""))
+        let (heard, word) = oneshot::channel();
+        let _ = self.to.send(Message::Notice { notice, body, from: None, heard: Some(heard) });
+        // The process that it is for may just have ended; a worker repeats what was not taken.
+        match timeout_at(Instant::now() + PASS_WAIT, word).await {
+            Ok(Ok(())) => Ok(wire::plain(StatusCode::OK, "")),
+            _ => Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "nobody has taken this notice")),
+        }
     }
 
     async fn job(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
--- a/spanlead/src/net/mod.rs
+++ b/spanlead/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod discovery;
 pub mod operator;
 pub mod peers;
+pub mod relay;
 pub mod wire;
 pub mod workers;
 
--- a/spanlead/src/net/peers.rs
+++ b/spanlead/src/net/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
 
 /// The longest message that may be sent.
@@ -14,19 +15,22 @@
 /// The pause after a failed receive.
 const RECEIVE_AGAIN: Duration = Duration::from_millis(20);
 
-/// The socket that the schedulers' messages come and go by.
+/// The socket that the schedulers' messages come and go by; dropping it gives the address up.
 pub struct PeerLink {
     socket: Arc<UdpSocket>,
+    receiving: AbortHandle,
     each: Vec<SocketAddr>,
     all: Option<SocketAddr>,
 }
 
 impl PeerLink {
     /// Listens for messages and hands them to the driver.
-    pub async fn open(peers: Peers, to: UnboundedSender<Message>) -> std::io::Result<Self> {
-        let socket = Arc::new(UdpSocket::bind(peers.listen).await?);
+    pub fn open(peers: &Peers, to: UnboundedSender<Message>) -> std::io::Result<Self> {
+        let socket = std::net::UdpSocket::bind(peers.listen)?;
+        socket.set_nonblocking(true)?;
+        let socket = Arc::new(UdpSocket::from_std(socket)?);
         let (receiver, senders) = (socket.clone(), peers.each.clone());
-        tokio::spawn(async move {
+        let receiving = tokio::spawn(async move {
             let mut buffer = [0; MAX_DATAGRAM + 1];
             loop {
                 let Ok((length, sender)) = receiver.recv_from(&mut buffer).await else {
@@ -41,7 +45,8 @@
                 }
             }
         });
-        Ok(PeerLink { socket, each: peers.each, all: peers.all })
+        let receiving = receiving.abort_handle();
+        Ok(PeerLink { socket, receiving, each: peers.each.clone(), all: peers.all })
     }
 
     /// Sends a message to one peer or to all; like any datagram it may get lost.
@@ -52,3 +57,9 @@
         }
     }
 }
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.receiving.abort();
+    }
+}
--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -185,6 +185,7 @@
 pub struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     budget: Arc<Semaphore>,
+    size: AtomicUsize,
     keep: Duration,
     connect_wait: Duration,
     reports: Reports,
@@ -194,8 +195,24 @@
     /// A pool of at most `budget` connections that keeps idle ones for `keep`; a connection that is not up after
     /// `connect_wait` counts as failed.
     pub fn new(budget: usize, keep: Duration, connect_wait: Duration, reports: Reports) -> Self {
-        let budget = Arc::new(Semaphore::new(budget));
-        Pool { idle: Mutex::default(), budget, keep, connect_wait, reports }
+        let (size, budget) = (AtomicUsize::new(budget), Arc::new(Semaphore::new(budget)));
+        Pool { idle: Mutex::default(), budget, size, keep, connect_wait, reports }
+    }
+
+    /// Changes how many connections there may be; what is in use above that is given up as it ends.
+    pub fn set_budget(&self, budget: usize) {
+        let before = self.size.swap(budget, Ordering::Relaxed);
+        self.budget.add_permits(budget.saturating_sub(before));
+        let fewer = before.saturating_sub(budget) as u32;
+        if fewer > 0 {
+            lock(&self.idle).clear();
+            let all = self.budget.clone();
+            tokio::spawn(async move {
+                if let Ok(permits) = all.acquire_many(fewer).await {
+                    permits.forget();
+                }
+            });
+        }
     }
 
     /// Hands an attempt to its worker, over a connection of its own: a reset of one that was kept leaves open whether
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -3,6 +3,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
@@ -128,6 +130,13 @@
     }
 }
 
+/// A new folder for one test.
+pub fn folder() -> PathBuf {
+    let folder = PathBuf::from(config_path()).with_extension("d");
+    std::fs::create_dir_all(&folder).expect("a writable folder");
+    folder
+}
+
 /// An address that refuses connections.
 pub fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
@@ -194,12 +203,35 @@
 impl Scheduler {
     /// Starts one that knows these list entries, with some of the configuration's text replaced.
     pub fn start(discovery: SocketAddr, known: &[String], edits: &[(&str, &str)]) -> Self {
+        Self::start_with(discovery, known, edits, |command| command)
+    }
+
+    /// Starts one on a listening socket that it inherits, beside others that hold the same one and the same folder.
+    pub fn start_beside(
+        platform: &TcpListener,
+        folder: &Path,
+        discovery: SocketAddr,
+        known: &[String],
+        edits: &[(&str, &str)],
+    ) -> Self {
+        let socket = OwnedFd::from(platform.try_clone().expect("a second handle"));
+        Self::start_with(discovery, known, edits, |command| {
+            command.stdin(socket).env("ROUTER_LISTEN_FD", "0").env("TMPDIR", folder)
+        })
+    }
+
+    fn start_with(
+        discovery: SocketAddr,
+        known: &[String],
+        edits: &[(&str, &str)],
+        with: impl FnOnce(&mut Command) -> &mut Command,
+    ) -> Self {
         let text = config(discovery, &known.join(","));
         let text = edits.iter().fold(text, |text, (from, to)| text.replace(from, to));
         let mut command = command("serve", &text);
         // As in service, where the variable says the same as the file does at the start.
         command.env("ROUTER_DISCOVERY", discovery.to_string()).env("ROUTER_OPERATOR", "127.0.0.1:0");
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+        let mut child = with(&mut command).stderr(Stdio::piped()).spawn().expect("it starts");
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let (to, log) = channel();
         thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(to.send(line))));
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -2,8 +2,10 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{Call, Scheduler, Server, config, nobody};
+use harness::{Call, Scheduler, Server, config, folder, nobody};
 use insta::assert_snapshot;
+use std::net::{TcpListener, UdpSocket};
+use std::os::unix::net::UnixListener;
 use std::time::{Duration, Instant};
 
 /// A scheduler that knows one worker, `s-a`.
@@ -659,3 +661,49 @@
     back.job("status-check", "id-4", 60_000);
     assert_eq!(worker.next().message.header("req-id"), Some("id-4"));
 }
+
+// Guards an upgrade: two processes serve by one inherited socket. Neither a file left behind nor the peers' address, which
+// the old one holds, hinders the new one; a notice that reaches the wrong process finds its job; each keeps to half of the
+// machine; the old one, told to end, takes no connection any more but serves what it had accepted.
+#[test]
+fn a_second_process_takes_over_and_nothing_is_lost() {
+    let (discovery, worker) = (Server::start(), Server::start());
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let peers = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+    let edits = [
+        (r#""cancel":true"#, r#""cancel":true,"peerMessages":true"#),
+        (r#""seed":"#, &format!(r#""peer_listen":"{peers}","seed":"#)),
+    ];
+    let folder = folder();
+    drop(UnixListener::bind(folder.join("n0.sock")).expect("a socket that is left behind"));
+    let known = [worker.entry("s-a", "active")];
+    let start = || Scheduler::start_beside(&platform, &folder, discovery.addr, &known, &edits);
+    let mut old = start();
+    let (mut client, mut idle) = (old.client(), old.client());
+    let mut slow = old.client();
+    client.job("once", "id-1", 60_000);
+    take(worker.next());
+    slow.write(&head("id-2", 60_000));
+    // It serves all three connections before there is another who could.
+    old.health();
+    let new = start();
+    old.logged("successor=true");
+    assert_eq!(new.operate("GET /ops/readiness"), "200 yes\n");
+    old.terminate();
+    assert!(idle.closed());
+    slow.write("Content-Length: 0\r\n\r\n");
+    take(worker.next());
+    // Only the new one accepts by now.
+    let mut third = new.client();
+    third.job("once", "id-3", 60_000);
+    take(worker.next());
+    for (id, client) in [("id-1", &mut client), ("id-2", &mut slow), ("id-3", &mut third)] {
+        assert_eq!(new.client().notice(id, "s-a", r#""state":"done","result":"r""#), "HTTP/1.1 200 OK");
+        assert_eq!(client.answer().body, "r");
+    }
+    assert!(old.wait().success());
+    new.logged("predecessor=false");
+    third.job("once", "id-4", 60_000);
+    assert_eq!(worker.next().message.header("req-id"), Some("id-4"));
+    UdpSocket::bind(peers).expect_err("the new one has taken the peers' address");
+}
