Serve bodies in chunks and requests in pieces, and refuse only a length told in two ways

Guessed first: REQUEST_WAIT, 2.5 s from the accept whatever comes in. A temporary trace showed no request that stalled or was rejected as a job; 64 had Transfer-Encoding: chunked, some with Expect: 100-continue, and net/clients.rs (respond) answered each of them 400.

At fault: respond, which took any Transfer-Encoding for a length told in two ways, since hyper hides a Content-Length that stands beside it. Now the stream watches the head for one as it comes in (Head) and only both together are refused. After a chunked request the connection closes, so that nothing behind it is read as another.

Also kept: a request is read as long as it goes on coming (2.5 s without a byte end it, 10 s in all), its time counts from the last byte as the protocol has it, and at the limit one in pieces is given 1 s for the next piece.

--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -2,8 +2,8 @@
 use super::{lock, wire};
 use crate::core::{Answer, Input, Job};
 use crate::driver::{Clock, Message};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::server::conn::http1;
@@ -30,15 +30,19 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{Body, CALLBACK, HEALTH, MAX_BODY, Notice, Parcel, Rejected};
 
-/// How long a request may take to come in whole: the first on a connection counted from when it was accepted, which
-/// closes those that say nothing, a later one from its first byte.
+/// How long a request that is expected or under way may bring nothing, the first on a connection counted from when it was
+/// accepted: that closes those that say nothing or stop half way, and serves those that come slowly, in pieces.
 const REQUEST_WAIT: Duration = Duration::from_millis(2500);
+/// How long a request may take to come in whole.
+const REQUEST_WHOLE: Duration = Duration::from_secs(10);
 /// A connection on which nothing was asked for this long is closed: an answer that nobody reads, or a client that
 /// vanished.
 const IDLE: Duration = Duration::from_secs(60);
 /// At the limit a connection that has brought nothing of use yet is closed for others only after this long: a client's
 /// first request may be on its way.
 const GRACE: Duration = Duration::from_millis(250);
+/// The same for one whose request has begun to come in: the next piece may be.
+const PIECE_GRACE: Duration = Duration::from_secs(1);
 /// The longest head that is read, and with it the most that a connection buffers: hyper's own limit, on all
 /// connections at once, would go over the memory limit.
 pub const MAX_HEAD: usize = 16 * 1024;
@@ -90,6 +94,8 @@
     ending: AtomicBool,
     /// A request has begun to come in.
     begun: Notify,
+    /// What its head shows before HTTP has read it.
+    head: Mutex<Head>,
     /// The socket, once HTTP is done with it.
     rest: Mutex<Option<TcpStream>>,
 }
@@ -98,8 +104,8 @@
 enum Stage {
     /// The first request is expected since then.
     Fresh(Instant),
-    /// A request has begun to come in; the wait for it began then.
-    Reading(Instant),
+    /// A request has begun to come in.
+    Reading(Coming),
     /// Nothing is under way since then.
     Idle(Instant),
     /// From a request's head to its answer.
@@ -108,6 +114,21 @@
     Lingering,
 }
 
+/// A request on its way.
+#[derive(Clone, Copy)]
+struct Coming {
+    since: Instant,
+    /// When the last of it came.
+    last: Instant,
+}
+
+impl Coming {
+    /// When it is given up if no more comes.
+    fn end(self) -> Instant {
+        (self.last + REQUEST_WAIT).min(self.since + REQUEST_WHOLE)
+    }
+}
+
 impl Line {
     fn new() -> Self {
         Line {
@@ -117,6 +138,7 @@
             cut: Notify::new(),
             ending: AtomicBool::new(false),
             begun: Notify::new(),
+            head: Mutex::default(),
             rest: Mutex::default(),
         }
     }
@@ -141,29 +163,90 @@
     /// When it is closed if nothing changes; a busy one ends with its answer.
     fn end(&self) -> Instant {
         match self.stage() {
-            Stage::Fresh(since) | Stage::Reading(since) => since + REQUEST_WAIT,
+            Stage::Fresh(since) => since + REQUEST_WAIT,
+            Stage::Reading(coming) => coming.end(),
             Stage::Idle(since) => since + IDLE,
             Stage::Busy | Stage::Lingering => Instant::now() + IDLE,
         }
     }
 }
 
+/// A head as it comes in, watched for a Content-Length: hyper hides one that stands beside a Transfer-Encoding, by which
+/// another server would find a second request in the body.
+#[derive(Default)]
+struct Head {
+    /// The name that the present line begins with, as far as it matters.
+    name: Vec<u8>,
+    in_value: bool,
+    begun: bool,
+    whole: bool,
+    names_length: bool,
+}
+
+impl Head {
+    fn take(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            match byte {
+                _ if self.whole => return,
+                b'\n' => {
+                    let blank = self.name.is_empty() && !self.in_value;
+                    self.whole = blank && self.begun;
+                    self.begun |= !blank;
+                    self.name.clear();
+                    self.in_value = false;
+                }
+                b'\r' => {}
+                b':' => {
+                    self.names_length |= !self.in_value && self.name.eq_ignore_ascii_case(b"content-length");
+                    self.in_value = true;
+                }
+                _ if !self.in_value && self.name.len() < 16 => self.name.push(byte),
+                _ => {}
+            }
+        }
+    }
+}
+
 /// A line is busy while this lives: from a request's head to its answer.
 struct Busy<'a> {
     front: &'a Front,
     line: &'a Line,
-    /// When all of the request must have come in.
-    whole_by: Instant,
+    /// When the request began to come in.
+    since: Instant,
+    head: Head,
 }
 
 impl<'a> Busy<'a> {
     fn new(front: &'a Front, line: &'a Line) -> Self {
         let since = match std::mem::replace(&mut *lock(&line.stage), Stage::Busy) {
-            Stage::Fresh(since) | Stage::Reading(since) => since,
+            Stage::Reading(coming) => coming.since,
             // Its head came together with the end of the request before.
             _ => Instant::now(),
         };
-        Busy { front, line, whole_by: since + REQUEST_WAIT }
+        Busy { front, line, since, head: std::mem::take(&mut *lock(&line.head)) }
+    }
+
+    /// Reads the rest of the request, as long as it goes on coming.
+    async fn read(&self, mut body: Incoming) -> Result<Bytes, Rejected> {
+        let too_large = Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        if hyper::body::Body::size_hint(&body).lower() > MAX_BODY as u64 {
+            return Err(too_large);
+        }
+        let (mut whole, mut last) = (BytesMut::new(), Instant::now());
+        loop {
+            match timeout_at(Coming { since: self.since, last }.end(), body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    last = Instant::now();
+                    whole.extend_from_slice(&frame.into_data().unwrap_or_default());
+                    if whole.len() > MAX_BODY {
+                        return Err(too_large);
+                    }
+                }
+                Ok(None) => return Ok(whole.freeze()),
+                Ok(Some(Err(_))) => return Err(Rejected(StatusCode::BAD_REQUEST, "the body broke off")),
+                Err(_) => return Err(Rejected(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
+            }
+        }
     }
 }
 
@@ -207,11 +290,13 @@
         let read = self.as_mut().stream()?.poll_read(cx, to);
         if to.filled().len() > before {
             let mut stage = lock(&line.stage);
+            let last = Instant::now();
             match *stage {
-                Stage::Fresh(since) => *stage = Stage::Reading(since),
-                Stage::Idle(_) => *stage = Stage::Reading(Instant::now()),
-                _ => return read,
+                Stage::Fresh(_) | Stage::Idle(_) => *stage = Stage::Reading(Coming { since: last, last }),
+                Stage::Reading(coming) => *stage = Stage::Reading(Coming { last, ..coming }),
+                Stage::Busy | Stage::Lingering => return read,
             }
+            lock(&line.head).take(&to.filled()[before..]);
             line.begun.notify_one();
         }
         read
@@ -348,9 +433,14 @@
             let rank = match line.stage() {
                 Stage::Lingering => (0, now),
                 Stage::Idle(since) if line.proven() => (2, since),
-                Stage::Idle(since) | Stage::Fresh(since) | Stage::Reading(since) if !line.proven() => {
-                    if since + GRACE > now {
-                        next = next.min(since + GRACE);
+                Stage::Idle(_) | Stage::Fresh(_) | Stage::Reading(_) if !line.proven() => {
+                    let (since, grace) = match line.stage() {
+                        Stage::Reading(coming) => (coming.last, PIECE_GRACE),
+                        Stage::Idle(since) | Stage::Fresh(since) => (since, GRACE),
+                        Stage::Busy | Stage::Lingering => continue,
+                    };
+                    if since + grace > now {
+                        next = next.min(since + grace);
                         continue;
                     }
                     (1, since)
@@ -388,9 +478,11 @@
         let service = service_fn(|request| {
             let busy = Busy::new(self, line);
             async move {
+                // Whatever stands behind a body that names its own end is not read: see `Head`.
+                let chunked = request.headers().contains_key(TRANSFER_ENCODING);
                 let response = self.respond(request, &busy).await;
                 drop(busy);
-                let closing = self.closing.load(Ordering::Relaxed) || line.ending();
+                let closing = chunked || self.closing.load(Ordering::Relaxed) || line.ending();
                 Ok::<_, Infallible>(if closing { wire::closing(response) } else { response })
             }
         });
@@ -436,13 +528,9 @@
     // ------------------------------------------------------------ requests
 
     async fn respond(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Response<Body> {
-        // hyper goes by Transfer-Encoding and may hide a Content-Length beside it, by which another server would find
-        // a second request in the body. Nobody here needs it.
-        if request.headers().contains_key(TRANSFER_ENCODING) {
-            return wire::rejection(Rejected(
-                StatusCode::BAD_REQUEST,
-                "a body's length is told by Content-Length alone",
-            ));
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        if chunked && (busy.head.names_length || !busy.head.whole) {
+            return wire::rejection(Rejected(StatusCode::BAD_REQUEST, "a body's length is told in two ways"));
         }
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEALTH) => match self.ready.load(Ordering::Relaxed) {
@@ -455,7 +543,7 @@
     }
 
     async fn notice(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
-        let body = read(request.into_body(), busy.whole_by).await?;
+        let body = busy.read(request.into_body()).await?;
         let Some(notice) = Notice::read(&body) else {
             return Ok(wire::plain(StatusCode::BAD_REQUEST, "not a notice\n"));
         };
@@ -473,10 +561,12 @@
         let (head, body) = request.into_parts();
         let arrived = self.clock.now();
         let class = wire::class(&head, &self.names)?;
-        let job = wire::job(&head, class, &self.names, arrived).inspect_err(|_| {
+        let mut job = wire::job(&head, class, &self.names, arrived).inspect_err(|_| {
             let _ = self.to.send(Message::Input(Input::TurnedAway { class }));
         })?;
-        let body = read(body, self.clock.instant(job.due).min(busy.whole_by)).await?;
+        let body = busy.read(body).await?;
+        // Its time counts from the last byte.
+        job.due += self.clock.now() - arrived;
         busy.line.proven.store(true, Ordering::Relaxed);
         let ticket = RequestId(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
@@ -500,17 +590,3 @@
         }
     }
 }
-
-async fn read(body: Incoming, until: Instant) -> Result<Bytes, Rejected> {
-    if hyper::body::Body::size_hint(&body).lower() > MAX_BODY as u64 {
-        return Err(Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
-    }
-    match timeout_at(until, Limited::new(body, MAX_BODY).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
-        }
-        Ok(Err(_)) => Err(Rejected(StatusCode::BAD_REQUEST, "the body broke off")),
-        Err(_) => Err(Rejected(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
-    }
-}
