Take whole new settings at SIGHUP, or nothing, and leave open jobs under their old rules

At fault: config.rs (new_discovery) heeded one key; class numbers were positions in the present list; many keys had silent defaults and a deadline of 0 passed.

Changed: config.rs reads the file as at the start and turns down one that lacks a key which the file in use has; settings/src/lib.rs numbers new names after all in use (Deployment::after) and turns down deadlines and attempts of 0 and a class named twice; the module takes Event::Retuned and keeps what it has learned, each job its number of attempts; names and the pool's tuning can change.

Failing without: the job's own attempts, the growing class numbers, the look for missing keys. The harness's wait for a log line now ends: other lines kept it waiting for ever.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 
 /// A deployment's settings, checked and translated.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     pub settings: od::Settings,
     pub names: Names,
@@ -13,9 +14,12 @@
 }
 
 /// The names behind the module's positions.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
+    /// Those of earlier settings, which requests may still be open under, come first.
     pub classes: Vec<String>,
+    /// The number of the first class that clients may name.
+    pub first: usize,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -26,8 +30,15 @@
     names.iter().position(|n| n == name).map(|i| i as u32)
 }
 
+impl Names {
+    /// The number of the class that clients mean by `name`.
+    pub fn class(&self, name: &str) -> Option<u32> {
+        position(&self.classes[self.first..], name).map(|i| i + self.first as u32)
+    }
+}
+
 /// What the unnamed values of a load report mean here.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reports {
     free_slots: bool,
     free_memory: bool,
@@ -115,12 +126,45 @@
         };
         let names = Names {
             classes: options.grades.into_iter().map(|g| g.name).collect(),
+            first: 0,
             tenants: options.tenants.into_iter().map(|t| t.name).collect(),
             zones: options.azs,
             kinds: options.kinds,
         };
         Ok(Deployment { settings, names, reports })
     }
+
+    /// These settings in place of those that `old` belongs to: every number that is in use keeps its meaning. Also for
+    /// each class the one that it continues, the one of that name.
+    #[must_use]
+    pub fn after(mut self, old: &Names) -> (Self, Vec<Option<u32>>) {
+        let like = self.names.classes.iter().map(|name| old.class(name)).collect();
+        let kinds = after(&old.kinds, &mut self.names.kinds);
+        let zones = after(&old.zones, &mut self.names.zones);
+        let renumbered = |numbers: &[u32], i: u32| numbers.get(i as usize).copied().unwrap_or(i);
+        for class in &mut self.settings.classes {
+            class.kind = class.kind.map(|kind| renumbered(&kinds, kind));
+        }
+        self.settings.kinds = self.names.kinds.len() as u32;
+        self.settings.zone = renumbered(&zones, self.settings.zone);
+        self.names.first = old.classes.len();
+        self.names.classes.splice(0..0, old.classes.iter().cloned());
+        (self, like)
+    }
+}
+
+/// Puts the old names before the new ones among them; the new ones' numbers then.
+fn after(old: &[String], new: &mut Vec<String>) -> Vec<u32> {
+    let mut all = old.to_vec();
+    let number = |name: String| {
+        position(&all, &name).unwrap_or_else(|| {
+            all.push(name);
+            all.len() as u32 - 1
+        })
+    };
+    let numbers = std::mem::take(new).into_iter().map(number).collect();
+    *new = all;
+    numbers
 }
 
 fn translate(o: &Options) -> Result<od::Settings, BadField> {
@@ -128,6 +172,12 @@
     let by_priority = info.queue_order.as_deref() == Some("priority");
     let mut classes = Vec::with_capacity(o.grades.len());
     for (i, g) in o.grades.iter().enumerate() {
+        if g.deadline == 0 {
+            return Err(BadField::new(format!("grades[{i}].deadline"), "must be positive"));
+        }
+        if o.grades[..i].iter().any(|other| other.name == g.name) {
+            return Err(BadField::new(format!("grades[{i}].name"), "is another class's name too"));
+        }
         let effect = match g.effect.as_str() {
             "idempotent" => od::Effect::Safe,
             "at_most_once" => od::Effect::Unsafe,
@@ -176,6 +226,9 @@
         Some(other) => return Err(BadField::new("report.via", format!("unknown value `{other}`"))),
     };
     let (l, p, r) = (&o.limits, &o.prices, &o.rules);
+    if l.max_attempts == Some(0) {
+        return Err(BadField::new("limits.maxAttempts", "must be positive"));
+    }
     Ok(od::Settings {
         me: o.me,
         instances: o.n_instances.unwrap_or(1),
@@ -274,7 +327,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Grade {
-    #[serde(default)]
     pub name: String,
     pub aim: u64,
     pub deadline: u64,
--- a/spanlead/src/config.rs
+++ b/spanlead/src/config.rs
@@ -3,12 +3,16 @@
 use crate::net::clients::MAX_HEAD;
 use crate::net::operator::MAX_CALLS;
 use crate::net::wire;
-use oatdock::{Dispatcher, Nanos};
+use crate::net::workers::Tuning;
+use oatdock::Dispatcher;
 use serde::Deserialize;
+use serde_json::Value;
 use settings::{BadField, Deployment, Options};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::time::Duration;
 
 /// Fewer descriptors, or less memory, than this leave nothing to serve with.
 const MIN_SOCKETS: usize = 64;
@@ -38,6 +42,34 @@
     pub known_seq: u64,
     pub known: Vec<Host>,
     pub deployment: Deployment,
+    /// The keys of the file, which a later one may not lack.
+    pub keys: Keys,
+}
+
+/// The paths of a file's keys. In a list of objects a key counts that all of them have, under `[]`.
+pub type Keys = BTreeSet<String>;
+
+fn keys(value: &Value) -> Keys {
+    let mut all = Keys::new();
+    match value {
+        Value::Object(object) => {
+            for (key, value) in object {
+                all.insert(key.clone());
+                // What was last known of the workers is no setting: its parts come and go.
+                if key != "known" {
+                    let below = |path: String| if path.starts_with('[') { path } else { format!(".{path}") };
+                    all.extend(keys(value).into_iter().map(|path| format!("{key}{}", below(path))));
+                }
+            }
+        }
+        Value::Array(list) => {
+            let each = list.iter().filter(|v| v.is_object()).map(keys);
+            let common = each.reduce(|a, b| a.intersection(&b).cloned().collect()).unwrap_or_default();
+            all.extend(common.into_iter().map(|path| format!("[].{path}")));
+        }
+        _ => {}
+    }
+    all
 }
 
 /// How the machine's descriptors and memory are shared out.
@@ -130,13 +162,15 @@
 }
 
 impl File {
-    fn read() -> Result<Self, ConfigError> {
+    fn read() -> Result<(Self, Keys), ConfigError> {
         let path =
             variable("ROUTER_CONFIG").ok_or_else(|| ConfigError::new("ROUTER_CONFIG", "is not set"))?;
         let text =
             std::fs::read(&path).map_err(|e| ConfigError::new("ROUTER_CONFIG", format!("{path}: {e}")))?;
-        serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text))
-            .map_err(|e| ConfigError::new(faulty_key(e.path()), e.inner()))
+        let file = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text))
+            .map_err(|e| ConfigError::new(faulty_key(e.path()), e.inner()))?;
+        let value: Value = serde_json::from_slice(&text).map_err(|e| ConfigError::new("ROUTER_CONFIG", e))?;
+        Ok((file, keys(&value)))
     }
 }
 
@@ -144,19 +178,24 @@
     /// Reads the file that `$ROUTER_CONFIG` names; `$ROUTER_NAME`, `$ROUTER_LISTEN`, `$ROUTER_DISCOVERY` and
     /// `$ROUTER_OPERATOR` go before what it says.
     pub fn from_environment() -> Result<Self, ConfigError> {
-        Self::checked(File::read()?)
+        let (file, keys) = File::read()?;
+        Self::checked(file, keys)
     }
 
-    /// Reads and checks the same file again, after it was replaced, and returns its discovery address: the one key
-    /// that is heeded without a restart. The file goes before `$ROUTER_DISCOVERY` here, which is as old as the process.
-    pub fn new_discovery() -> Result<SocketAddr, ConfigError> {
-        let file = File::read()?;
+    /// Reads and checks the same file again, after it was replaced; `keys` are those of the one in use, none of which it
+    /// may lack. Its `discovery` goes before `$ROUTER_DISCOVERY` here, which is as old as the process.
+    pub fn again(keys: &Keys) -> Result<Self, ConfigError> {
+        let (file, new) = File::read()?;
+        if let Some(key) = keys.difference(&new).next() {
+            return Err(ConfigError::new(key, "is missing"));
+        }
         let named = file.discovery;
-        let config = Self::checked(file)?;
-        Ok(named.unwrap_or(config.discovery))
+        let mut config = Self::checked(file, new)?;
+        config.discovery = named.unwrap_or(config.discovery);
+        Ok(config)
     }
 
-    fn checked(file: File) -> Result<Self, ConfigError> {
+    fn checked(file: File, keys: Keys) -> Result<Self, ConfigError> {
         let bad = |e: BadField| ConfigError::new(format!("settings.{}", e.field), e.why);
         let mut deployment = Deployment::read(file.settings).map_err(bad)?;
         // The module turns down what makes no sense; ask it now, so that `check` finds it too.
@@ -189,15 +228,21 @@
             known_seq: file.known.seq,
             known: file.known.hosts(&deployment.names),
             deployment,
+            keys,
         })
     }
 
-    /// How long an idle connection to a worker is kept for the next probe: workers may close one long before the limit
-    /// that they state, and what is written to it from then on ends in a reset.
-    pub fn keep_idle(&self) -> Nanos {
-        match self.deployment.settings.limits.conn_idle {
-            0 => 5_000_000_000,
-            limit => limit / 20,
+    /// What the connections to workers go by.
+    ///
+    /// An idle one is kept for the next probe, but not for long: workers may close one long before the limit that they
+    /// state, and what is written to it from then on ends in a reset.
+    pub fn tuning(&self) -> Tuning {
+        let limits = &self.deployment.settings.limits;
+        let keep = if limits.conn_idle == 0 { 5_000_000_000 } else { limits.conn_idle / 20 };
+        Tuning {
+            keep: Duration::from_nanos(keep),
+            connect_wait: Duration::from_nanos(limits.connect_timeout),
+            reports: self.deployment.reports,
         }
     }
 }
--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -101,8 +101,12 @@
         version: u64,
         hosts: Vec<Host>,
     },
-    /// Discovery is to be found at this address from now on.
-    Discovery(SocketAddr),
+    /// The configuration's file was read again: where discovery is from now on, and the settings if they are new, with
+    /// the earlier class that each class continues.
+    Reloaded {
+        discovery: SocketAddr,
+        settings: Option<(Box<Settings>, Vec<Option<u32>>)>,
+    },
     Probed {
         worker: Arc<str>,
         sent: Nanos,
@@ -389,9 +393,14 @@
                 self.version = version;
                 self.list(now, scope, hosts, out);
             }
-            Input::Discovery(addr) => {
+            Input::Reloaded { discovery, settings } => {
                 self.reloads += 1;
-                self.move_discovery(addr, out);
+                if let Some((settings, like)) = settings {
+                    self.tick = settings.tick;
+                    self.ends.resize(self.ends.len() + settings.classes.len(), Ends::default());
+                    self.decide(now, Event::Retuned { settings, like }, out);
+                }
+                self.move_discovery(discovery, out);
             }
             Input::Probed { worker, sent, outcome, report } => {
                 let event = Event::Probed { worker: &worker, outcome, lag: now.saturating_sub(sent), report };
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -1,5 +1,5 @@
 //! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
-use crate::config::{Config, Peers, Shares};
+use crate::config::{Config, Keys, Peers, Shares};
 use crate::core::{Answer, AttemptId, Core, Effect, Input};
 use crate::net::clients::{self, Arrival, Front};
 use crate::net::discovery::Discovery;
@@ -10,7 +10,7 @@
 use crate::net::workers::Pool;
 use bytes::Bytes;
 use oatdock::{ListScope, Nanos, RequestId};
-use settings::{Names, Reports};
+use settings::{Deployment, Names, Reports};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 
@@ -83,7 +83,10 @@
     handovers: HashMap<AttemptId, JoinHandle<()>>,
     pool: Arc<Pool>,
     front: Arc<Front>,
-    names: Arc<Names>,
+    /// The names in use, for whoever reads messages; and the settings and keys of the file in use.
+    names: watch::Sender<Arc<Names>>,
+    deployment: Deployment,
+    keys: Keys,
     /// The watch of discovery, if one has been begun.
     watch: Option<JoinHandle<()>>,
     peers: Option<PeerLink>,
@@ -103,11 +106,9 @@
 
 /// Serves until told to stop, then until nothing is owed.
 pub async fn serve(config: Config) -> Result<(), Box<dyn std::error::Error>> {
-    let keep = Duration::from_nanos(config.keep_idle());
-    let limits = config.deployment.settings.limits.clone();
-    let connect_wait = Duration::from_nanos(limits.connect_timeout);
-    let reports = config.deployment.reports;
-    let names = Arc::new(config.deployment.names);
+    let tuning = config.tuning();
+    let deployment = config.deployment;
+    let names = watch::Sender::new(Arc::new(deployment.names.clone()));
 
     // Before anything is promised: until then these signals end the process.
     let signals = Signals::new()?;
@@ -136,16 +137,18 @@
     }
     let shares = [config.shares, config.half];
     let share = shares[usize::from(predecessor.is_some())];
-    let front = Arc::new(Front::new(names.clone(), clock, to.clone(), share.clients));
+    let front = Arc::new(Front::new(names.subscribe(), clock, to.clone(), share.clients));
     let mut driver = Driver {
-        core: Core::new(config.deployment.settings, config.seed, share.open, config.discovery)?,
+        core: Core::new(deployment.settings.clone(), config.seed, share.open, config.discovery)?,
         clock,
-        reports,
+        reports: deployment.reports,
         open: HashMap::new(),
         handovers: HashMap::new(),
-        pool: Arc::new(Pool::new(share.workers, keep, connect_wait, reports)),
+        pool: Arc::new(Pool::new(share.workers, tuning)),
         front: front.clone(),
         names,
+        deployment,
+        keys: config.keys,
         watch: None,
         peers: None,
         peers_wanted: config.peers,
@@ -210,10 +213,21 @@
 
     /// The configuration's file was replaced. A faulty one must not stop a scheduler that serves.
     fn reload(&mut self) {
-        match Config::new_discovery() {
-            Ok(addr) => {
-                tracing::info!(discovery = %addr, "configuration read again");
-                self.step(Input::Discovery(addr));
+        match Config::again(&self.keys) {
+            Ok(config) => {
+                let (discovery, tuning, mut settings) = (config.discovery, config.tuning(), None);
+                self.keys = config.keys;
+                if config.deployment != self.deployment {
+                    self.deployment = config.deployment.clone();
+                    let (new, like) = config.deployment.after(&self.names.borrow());
+                    settings = Some((Box::new(new.settings), like));
+                    self.reports = new.reports;
+                    self.pool.tune(tuning);
+                    // Who reads by them is heard only after the reducer knows the new numbers.
+                    self.names.send_replace(Arc::new(new.names));
+                }
+                tracing::info!(%discovery, settings = settings.is_some(), "configuration read again");
+                self.step(Input::Reloaded { discovery, settings });
             }
             Err(error) => {
                 tracing::error!("the new configuration is not used: {error}");
@@ -228,7 +242,7 @@
             OperatorCall::Readiness if self.core.serves() => OperatorReply::Yes,
             OperatorCall::Readiness => OperatorReply::No("no worker is known, or the process is ending\n"),
             OperatorCall::Stats => {
-                let figures = self.core.figures(self.clock.now(), &self.names.classes);
+                let figures = self.core.figures(self.clock.now(), &self.names.borrow().classes);
                 OperatorReply::Figures(Box::new(figures))
             }
             OperatorCall::Drain(on) => {
@@ -428,6 +442,6 @@
         }
     }
     fn discovery(&self, addr: SocketAddr, version: u64) -> Discovery {
-        Discovery { addr, version, names: self.names.clone(), to: self.to.clone() }
+        Discovery { addr, version, names: self.names.subscribe(), to: self.to.clone() }
     }
 }
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -26,7 +26,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{Body, CALLBACK, HEALTH, MAX_BODY, Notice, Parcel, Rejected};
 
@@ -65,7 +65,7 @@
 
 /// What every client connection shares.
 pub struct Front {
-    names: Arc<Names>,
+    names: watch::Receiver<Arc<Names>>,
     clock: Clock,
     to: UnboundedSender<Message>,
     tickets: AtomicU64,
@@ -350,7 +350,12 @@
 
 impl Front {
     /// A front whose requests go to `to` and that holds at most `budget` connections.
-    pub fn new(names: Arc<Names>, clock: Clock, to: UnboundedSender<Message>, budget: usize) -> Self {
+    pub fn new(
+        names: watch::Receiver<Arc<Names>>,
+        clock: Clock,
+        to: UnboundedSender<Message>,
+        budget: usize,
+    ) -> Self {
         Front {
             names,
             clock,
@@ -560,8 +565,9 @@
     async fn job(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
         let (head, body) = request.into_parts();
         let arrived = self.clock.now();
-        let class = wire::class(&head, &self.names)?;
-        let mut job = wire::job(&head, class, &self.names, arrived).inspect_err(|_| {
+        let names = self.names.borrow().clone();
+        let class = wire::class(&head, &names)?;
+        let mut job = wire::job(&head, class, &names, arrived).inspect_err(|_| {
             let _ = self.to.send(Message::Input(Input::TurnedAway { class }));
         })?;
         let body = busy.read(body).await?;
--- a/spanlead/src/net/discovery.rs
+++ b/spanlead/src/net/discovery.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// How long one call of the watch waits for news.
@@ -23,7 +24,7 @@
 pub struct Discovery {
     pub addr: SocketAddr,
     pub version: u64,
-    pub names: Arc<Names>,
+    pub names: watch::Receiver<Arc<Names>>,
     pub to: UnboundedSender<Message>,
 }
 
@@ -47,7 +48,7 @@
             }
             self.version = list.seq;
             let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
-            let hosts = list.hosts(&self.names);
+            let hosts = list.hosts(&self.names.borrow());
             if first || scope == ListScope::Full || !hosts.is_empty() {
                 self.tell(scope, hosts);
             }
@@ -62,7 +63,8 @@
         match self.call(&mut None, wire::whole_list(), Instant::now() + LATE).await {
             Some(list) => {
                 self.version = list.seq;
-                self.tell(ListScope::Full, list.hosts(&self.names));
+                let hosts = list.hosts(&self.names.borrow());
+                self.tell(ListScope::Full, hosts);
             }
             None => self.tell(ListScope::Failed, Vec::new()),
         }
--- a/spanlead/src/net/wire.rs
+++ b/spanlead/src/net/wire.rs
@@ -60,7 +60,7 @@
 /// Reads the class of a job.
 pub fn class(head: &Parts, names: &Names) -> Result<u32, Rejected> {
     let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
-    position(&names.classes, class).ok_or(Rejected(StatusCode::NOT_FOUND, "unknown class"))
+    names.class(class).ok_or(Rejected(StatusCode::NOT_FOUND, "unknown class"))
 }
 
 /// Reads the rest of a job's head; `arrived` is when it came, which turns its span into an instant.
--- a/spanlead/src/net/workers.rs
+++ b/spanlead/src/net/workers.rs
@@ -186,17 +186,33 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     budget: Arc<Semaphore>,
     size: AtomicUsize,
-    keep: Duration,
-    connect_wait: Duration,
-    reports: Reports,
+    tuning: Mutex<Tuning>,
+}
+
+/// What of the settings the connections to workers go by.
+#[derive(Clone, Copy)]
+pub struct Tuning {
+    /// How long an idle connection is kept.
+    pub keep: Duration,
+    /// A connection that is not up after this counts as failed.
+    pub connect_wait: Duration,
+    pub reports: Reports,
 }
 
 impl Pool {
-    /// A pool of at most `budget` connections that keeps idle ones for `keep`; a connection that is not up after
-    /// `connect_wait` counts as failed.
-    pub fn new(budget: usize, keep: Duration, connect_wait: Duration, reports: Reports) -> Self {
+    /// A pool of at most `budget` connections.
+    pub fn new(budget: usize, tuning: Tuning) -> Self {
         let (size, budget) = (AtomicUsize::new(budget), Arc::new(Semaphore::new(budget)));
-        Pool { idle: Mutex::default(), budget, size, keep, connect_wait, reports }
+        Pool { idle: Mutex::default(), budget, size, tuning: Mutex::new(tuning) }
+    }
+
+    fn tuning(&self) -> Tuning {
+        *lock(&self.tuning)
+    }
+
+    /// Goes by these from now on.
+    pub fn tune(&self, tuning: Tuning) {
+        *lock(&self.tuning) = tuning;
     }
 
     /// Changes how many connections there may be; what is in use above that is given up as it ends.
@@ -261,7 +277,7 @@
             Ok(reply) => {
                 let text = std::str::from_utf8(&reply.body).unwrap_or("");
                 let figures = wire::load(text).filter(|_| reply.status == StatusCode::OK);
-                let report = figures.map(|f| self.reports.report(f)).or(reply.report);
+                let report = figures.map(|f| self.tuning().reports.report(f)).or(reply.report);
                 let outcome = match reply.status {
                     StatusCode::OK => Outcome::Ok,
                     StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
@@ -296,7 +312,7 @@
     }
 
     async fn connect_anew(&self, addr: SocketAddr, until: Instant) -> Result<Connection, Fault> {
-        let up_by = until.min(Instant::now() + self.connect_wait);
+        let up_by = until.min(Instant::now() + self.tuning().connect_wait);
         let permit = self.permit(up_by).await?;
         connect(addr, up_by, Some(permit)).await
     }
@@ -311,7 +327,7 @@
         let request = request().ok_or(Fault::Unsent)?;
         let (status, headers, body) = connection.exchange(request, until, wire::MAX_BODY).await?;
         self.put_idle(addr, connection);
-        Ok(wire::reply(status, &headers, body, self.reports))
+        Ok(wire::reply(status, &headers, body, self.tuning().reports))
     }
 
     /// A new connection's share of the budget; at the limit, the connection that has been idle longest makes room.
@@ -336,7 +352,7 @@
         let mut idle = lock(&self.idle);
         let list = idle.get_mut(&addr)?;
         while let Some(Idle { connection, since }) = list.pop() {
-            if since.elapsed() < self.keep && !connection.sender.is_closed() {
+            if since.elapsed() < self.tuning().keep && !connection.sender.is_closed() {
                 return Some(connection);
             }
         }
@@ -352,8 +368,9 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
+        let keep = self.tuning().keep;
         lock(&self.idle).retain(|_, list| {
-            list.retain(|i| i.since.elapsed() < self.keep && !i.connection.sender.is_closed());
+            list.retain(|i| i.since.elapsed() < keep && !i.connection.sender.is_closed());
             !list.is_empty()
         });
     }
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -248,7 +248,9 @@
 
     /// The next line of the log that holds this text.
     pub fn logged(&self, text: &str) -> String {
-        let next = || self.log.recv_timeout(PATIENCE).expect("the log goes on");
+        let until = Instant::now() + PATIENCE;
+        let left = || until.saturating_duration_since(Instant::now());
+        let next = || self.log.recv_timeout(left()).unwrap_or_else(|_| panic!("no line with {text}"));
         std::iter::repeat_with(next).find(|line| line.contains(text)).expect("endless")
     }
 
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -733,3 +733,110 @@
     let answer = client.answer();
     assert_eq!((answer.body.as_str(), answer.header("connection")), ("r", Some("close")));
 }
+
+// Guards new settings under load: classes come and go and their rules change, from then on. A job that is open keeps the
+// rules and the attempts that it came under, and a dropped class its counts.
+#[test]
+fn new_settings_bind_new_jobs_and_leave_open_ones_alone() {
+    let (discovery, worker, other) = (Server::start(), Server::start(), Server::start());
+    let known = [worker.entry("s-a", "active"), other.entry("s-b", "active")];
+    let scheduler = Scheduler::start(discovery.addr, &known, &[]);
+    let asked = || {
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(20) {
+            if let Some(call) = worker.try_next().or_else(|| other.try_next()) {
+                return call;
+            }
+        }
+        panic!("nobody is asked");
+    };
+    let (mut client, mut open) = (scheduler.client(), scheduler.client());
+    client.job("guest-visit", "no-worker/", 60_000);
+    client.answer();
+    open.job("status-check", "open", 60_000);
+    let call = asked();
+    let edits = [
+        // The class that is open may not be repeated any more, the one before it in the list is gone, one is new.
+        (r#""name":"status-check""#, r#""name":"card""#),
+        (r#""name":"guest-visit""#, r#""name":"status-check""#),
+        (r#""effect":"deduplicated""#, r#""effect":"at_most_once""#),
+        (r#""maxAttempts":6"#, r#""maxAttempts":1"#),
+    ];
+    let known = known.join(",");
+    let text = edits.iter().fold(config(discovery.addr, &known), |text, (from, to)| text.replace(from, to));
+    scheduler.reload(&text);
+    scheduler.logged("configuration read again");
+    // Safe to repeat, as it was when it came in, and with more than one attempt.
+    call.hang_up();
+    take(asked());
+    let mut notices = scheduler.client();
+    for worker in ["s-a", "s-b"] {
+        notices.notice("open", worker, r#""state":"done","result":"r""#);
+    }
+    assert_eq!(open.answer().body, "r");
+    client = scheduler.client();
+    client.job("guest-visit", "dropped", 60_000);
+    assert_eq!(client.answer().start, "HTTP/1.1 404 Not Found");
+    for (class, status) in [("card", "503 Service Unavailable"), ("status-check", "502 Bad Gateway")] {
+        client = scheduler.client();
+        client.job(class, class, 60_000);
+        asked().hang_up();
+        assert_eq!(client.answer().start, format!("HTTP/1.1 {status}"));
+    }
+    assert!(worker.unasked() && other.unasked());
+    assert_snapshot!(scheduler.operate("GET /ops/stats").replace("},", "},\n"), @r#"
+    200 {"downstream_requests":{"card":{"completed":0,"rejected":1,"failed":0},
+    "guest-visit":{"completed":0,"rejected":0,"failed":1},
+    "once":{"completed":0,"rejected":0,"failed":0},
+    "status-check":{"completed":1,"rejected":0,"failed":1}},
+    "upstream_requests":4,"pending":0,"members":2,"members_unavailable":0,"config_reloads":1,"config_reload_errors":0}
+    "#);
+}
+
+// Guards against half a configuration: from a file that is broken in any way nothing is taken, and one line says why.
+#[test]
+fn a_broken_file_changes_nothing() {
+    let (scheduler, worker, discovery) = with_worker();
+    let good = config(discovery.addr, "");
+    let cases = [
+        String::new(),
+        good[..good.find(r#""once""#).expect("a class")].to_owned(),
+        good[..good.len() - 1].to_owned(),
+        good.replacen(r#""deadline":7500000000,"#, "", 1),
+        good.replacen(r#""deadline":7500000000"#, r#""deadline":0"#, 1),
+        good.replacen(r#""deadline":7500000000"#, r#""deadline":-7500000000"#, 1),
+        good.replace(r#""maxAttempts":6"#, r#""maxAttempts":0"#),
+        good.replace(r#""maxAttempts":6"#, r#""maxAttempts":"six""#),
+        good.replace(r#""maxAttempts":6,"#, ""),
+        good.replace(r#","drainGrace":750000000"#, ""),
+        good.replace(r#""discovery":"subscribe","#, ""),
+        good.replace(r#""name":"once""#, r#""name":"guest-visit""#),
+    ];
+    let lines = cases.clone().map(|text| {
+        scheduler.reload(&text);
+        let line = scheduler.logged("ERROR");
+        line.split_once("not used: ").expect("a reason").1.to_owned() + "\n"
+    });
+    assert_snapshot!(lines.concat(), @r#"
+    configuration key `ROUTER_CONFIG`: EOF while parsing a value at line 1 column 0
+    configuration key `settings.grades[2].name`: EOF while parsing a value at line 4 column 290
+    configuration key `ROUTER_CONFIG`: EOF while parsing an object at line 8 column 72
+    configuration key `settings.grades[0]`: missing field `deadline` at line 4 column 133
+    configuration key `settings.grades[0].deadline`: must be positive
+    configuration key `settings.grades[0].deadline`: invalid value: integer `-7500000000`, expected u64 at line 4 column 133
+    configuration key `settings.limits.maxAttempts`: must be positive
+    configuration key `settings.limits.maxAttempts`: invalid type: string "six", expected u32 at line 6 column 93
+    configuration key `settings.limits.maxAttempts`: is missing
+    configuration key `settings.rules.drainGrace`: is missing
+    configuration key `settings.discovery`: is missing
+    configuration key `settings.grades[2].name`: is another class's name too
+    "#);
+    let figures = scheduler.operate("GET /ops/stats");
+    assert!(
+        figures.ends_with(&format!(r#""config_reloads":0,"config_reload_errors":{}}}"#, cases.len())),
+        "{figures}"
+    );
+    let mut client = scheduler.client();
+    client.job("guest-visit", "id-1", 60_000);
+    assert_eq!(worker.next().message.header("req-id"), Some("id-1"));
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -444,6 +444,14 @@
         /// The worker's load, if it came along.
         report: Option<Report>,
     },
+    /// Operators have changed the settings. What was learned stays; requests that are open keep their class
+    /// and their attempts.
+    Retuned {
+        /// The new settings. Their classes are numbered after all earlier ones.
+        settings: Box<Settings>,
+        /// For each of them the earlier class that it continues, if any.
+        like: Vec<Option<u32>>,
+    },
     /// A peer's message.
     Peer {
         /// The sender's number.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,6 +3,7 @@
 //! Ordinary path (NBRW-Pod): walkers move over a shared expander of workers; a job goes to the walker-held
 //! worker with the fewest of this dispatcher's own slots in flight.
 use crate::api::*;
+use crate::check::check;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
@@ -224,6 +225,8 @@
     heard: Option<Nanos>,
     /// Its key was not lately at the worker.
     fetches: bool,
+    /// Its class had the top priority.
+    top: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -237,6 +240,8 @@
     req: Request,
     arrived: Nanos,
     due: Nanos,
+    /// The most attempts it may have.
+    attempts: usize,
     phase: Phase,
     streaming: bool,
     tries: Vec<Try>,
@@ -263,7 +268,7 @@
     fn permit(&self, set: &Settings, workers: &[Worker], to: u32, now: Nanos) -> Option<Permit> {
         let worker = &workers[to as usize];
         let closed = self.phase == Phase::Closed || self.streaming;
-        if closed || now >= self.due || self.tries.len() >= set.limits.attempts as usize {
+        if closed || now >= self.due || self.tries.len() >= self.attempts {
             return None;
         }
         if worker.state != WorkerState::Ready || (self.out() && !set.limits.second_copies) {
@@ -314,6 +319,7 @@
     Discovery = 2,
 }
 
+#[derive(Clone, Copy, Default)]
 struct ClassStat {
     /// Mean log of the running time (over the hint, where there is one) and its mean deviation.
     log_lag: f64,
@@ -392,7 +398,7 @@
         kinds.sort_unstable();
         kinds.dedup();
         let graphs = std::iter::once(None).chain(kinds.into_iter().map(Some)).map(Graph::new).collect();
-        let classes = settings.classes.iter().map(|_| ClassStat { log_lag: 0.0, spread: 0.0, samples: 0.0 });
+        let classes = settings.classes.iter().map(|_| ClassStat::default());
         Ok(Dispatcher {
             classes: classes.collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -447,10 +453,33 @@
             Event::Probed { worker, outcome, report, .. } => {
                 self.probed(now, worker, outcome, report, out);
             }
+            Event::Retuned { settings, like } => self.retune(*settings, &like),
             Event::Peer { .. } => {}
         }
     }
 
+    /// Takes new settings and keeps what was learned. Open jobs keep the class that they came under: numbers
+    /// never shift, the new classes follow all old ones.
+    fn retune(&mut self, mut settings: Settings, like: &[Option<u32>]) {
+        let new = std::mem::replace(&mut settings.classes, std::mem::take(&mut self.set.classes));
+        for kind in new.iter().filter_map(|c| c.kind) {
+            if !self.graphs.iter().any(|g| g.kind == Some(kind)) {
+                let mut graph = Graph::new(Some(kind));
+                for (i, w) in self.workers.iter().enumerate() {
+                    graph.set(i as u32, &w.hash, w.state == WorkerState::Ready && w.kind == kind);
+                }
+                self.graphs.push(graph);
+            }
+        }
+        self.top = new.iter().map(|c| c.priority).max().unwrap_or(0);
+        for i in 0..new.len() {
+            let learned = like.get(i).copied().flatten().and_then(|l| self.classes.get(l as usize));
+            self.classes.push(learned.copied().unwrap_or_default());
+        }
+        settings.classes.extend(new);
+        self.set = settings;
+    }
+
     /// The workers that a walker may step to from `worker`, one for each edge of the graph of all kinds:
     /// what operators and tests need to see that all dispatchers hold the same graph.
     pub fn neighbours(&self, worker: &str) -> Vec<WorkerId> {
@@ -566,6 +595,7 @@
             Job {
                 arrived: now,
                 due: now + req.left,
+                attempts: self.set.limits.attempts as usize,
                 phase: Phase::Held,
                 streaming: false,
                 tries: Vec::new(),
@@ -583,7 +613,7 @@
     fn decide(&mut self, now: Nanos, serial: u64, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&serial) else { return };
         let class = &self.set.classes[job.req.class as usize];
-        if now >= job.last(&self.set) || job.tries.len() >= self.set.limits.attempts as usize {
+        if now >= job.last(&self.set) || job.tries.len() >= job.attempts {
             return self.give_up(serial, out);
         }
         let graph = self.graphs.iter().position(|g| g.kind == class.kind).unwrap_or(0);
@@ -827,6 +857,7 @@
         }
         let Some(job) = self.jobs.get_mut(&serial) else { return };
         let worker = &mut self.workers[permit.0 as usize];
+        let top = self.set.classes[job.req.class as usize].priority == self.top;
         self.held.retain(|s| *s != serial);
         job.phase = Phase::Sent;
         job.settling = false;
@@ -837,12 +868,12 @@
             started: !self.set.tells_start,
             heard: None,
             fetches,
+            top,
         });
         worker.add_own(now, job.req.slots, self.report_age);
         if self.set.tells_start {
             worker.waiting += 1;
-            let priority = self.set.classes[job.req.class as usize].priority;
-            worker.waiting_top += u32::from(priority == self.top);
+            worker.waiting_top += u32::from(top);
         }
         if now > worker.used_at + self.set.limits.conn_idle {
             worker.idle_conns = 0;
@@ -948,7 +979,7 @@
         let worker = &mut self.workers[attempt.worker as usize];
         worker.waiting = worker.waiting.saturating_sub(1);
         let class = &self.set.classes[job.req.class as usize];
-        worker.waiting_top = worker.waiting_top.saturating_sub(u32::from(class.priority == self.top));
+        worker.waiting_top = worker.waiting_top.saturating_sub(u32::from(attempt.top));
         if ran {
             let (lag, slack) = (now - attempt.sent, class.aim / 2);
             self.observe(lag < slack, START_TARGET);
@@ -1227,35 +1258,3 @@
         worker.window_left > 0.0
     }
 }
-
-fn check(set: &Settings) -> Result<(), SettingsError> {
-    let fail = |setting, reason| Err(SettingsError { setting, reason });
-    let bad = |x: f64| !x.is_finite() || x < 0.0;
-    if set.classes.is_empty() {
-        return fail("classes", "names no class");
-    }
-    for class in &set.classes {
-        if bad(class.worth) || bad(class.late_share) || bad(class.stretch) {
-            return fail("classes", "has a negative or non-finite figure");
-        }
-        if class.kind.is_some_and(|k| k >= set.kinds.max(1)) {
-            return fail("classes.kind", "names a machine kind that is not there");
-        }
-    }
-    let p = &set.prices;
-    let prices = [p.cross_zone, p.waste, p.connection, p.handshake, p.origin, p.probe, p.peer, p.late_fail];
-    if prices.into_iter().any(bad) {
-        return fail("prices", "has a negative or non-finite figure");
-    }
-    let r = &set.rules;
-    if bad(r.cold_from) || bad(r.tip_multiple) {
-        return fail("rules", "has a negative or non-finite figure");
-    }
-    if set.tenants.iter().any(|t| bad(t.quota_per_s)) || bad(set.over_share_worth) {
-        return fail("tenants", "has a negative or non-finite figure");
-    }
-    if set.instances == 0 || set.me >= set.instances {
-        return fail("instances", "does not cover this dispatcher's number");
-    }
-    Ok(())
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 mod api;
+mod check;
 mod choice;
 
 pub use api::*;
