Hand open jobs to the process that takes over, with their clients' connections

A temporary trace in the reducer showed no failed answer and no client that left for them; the old processes were killed 3.7 s after SIGTERM with 2 to 6 jobs open.

Ruled out: notices that went astray and rules (none broken), connections turned back at the door (0).

Changed: core.rs gives up what stands still (Core::hand_over) and takes it up elsewhere (Input::Request with its tries); the module adopts the attempts (Event::Adopted), so the class's rules go on from them; net/relay.rs sends the client's socket beside the request (SCM_RIGHTS) and both ends confirm; driver.rs keeps notices that overtake the request, and sends back those that come for one that has left; net/clients.rs reads such a request from its text. A connection's socket is shared by its line, which does away with handing it round after HTTP.

Test: the upgrade's, in which the old process now ends before the jobs do. It fails without the handover (it waits, within bounds now), without the passing of notices, and without the module's knowledge of the attempts.

--- a/spanlead/src/core.rs
+++ b/spanlead/src/core.rs
@@ -3,9 +3,9 @@
 //! asks for as [`Effect`]s.
 use oatdock::{
     Action, Dispatcher, Entry, Event, ListScope, Nanos, Note, Outcome, Report, RequestId, Settings,
-    SettingsError, WorkerId, WorkerState,
+    SettingsError, Tried, WorkerId, WorkerState,
 };
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +33,22 @@
     pub due: Nanos,
 }
 
+/// What another process must know of an open request to go on with it.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Tale {
+    pub id: Arc<str>,
+    pub due: Nanos,
+    pub tries: Vec<Chapter>,
+}
+
+/// An attempt in such a tale; `ran` tells whether it may have run, once it is over.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Chapter {
+    worker: Arc<str>,
+    sent: Nanos,
+    ran: Option<bool>,
+}
+
 /// An attempt: its request and its number, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct AttemptId(pub RequestId, pub u32);
@@ -78,6 +94,8 @@
     Request {
         ticket: RequestId,
         job: Job,
+        /// What another process of this scheduler did for it before.
+        tries: Option<Vec<Chapter>>,
     },
     ClientLeft {
         ticket: RequestId,
@@ -128,6 +146,8 @@
         open: usize,
         successor: bool,
     },
+    /// The successor takes over what is open, as far as its attempts stand still.
+    HandOver,
     /// A request of this class was turned away before it could be taken.
     TurnedAway {
         class: u32,
@@ -181,6 +201,11 @@
 /// What the reducer wants done.
 #[derive(Debug)]
 pub enum Effect {
+    /// The request is another process's from now on.
+    HandOver {
+        ticket: RequestId,
+        tale: Tale,
+    },
     Answer {
         ticket: RequestId,
         answer: Answer,
@@ -235,6 +260,8 @@
     addr: SocketAddr,
     sent: Nanos,
     stage: Stage,
+    /// Known once it is over.
+    may_have_run: bool,
 }
 
 struct Request {
@@ -363,7 +390,12 @@
 
     /// Whether a stopping scheduler owes nothing any more and the front has had its time.
     pub fn finished(&self, now: Nanos) -> bool {
-        self.stopping.is_some_and(|t| now >= t + TURN_AWAY) && self.requests.is_empty()
+        self.finishing(now) && self.requests.is_empty()
+    }
+
+    /// Whether it was told to stop and the front has had its time.
+    pub fn finishing(&self, now: Nanos) -> bool {
+        self.stopping.is_some_and(|t| now >= t + TURN_AWAY)
     }
 
     /// Whether this request is open here.
@@ -380,7 +412,7 @@
     /// Takes one input at time `now` and appends what is to be done.
     pub fn step(&mut self, now: Nanos, input: Input, out: &mut Vec<Effect>) {
         match input {
-            Input::Request { ticket, job } => self.request(now, ticket, job, out),
+            Input::Request { ticket, job, tries } => self.request(now, ticket, job, tries, out),
             Input::ClientLeft { ticket } => self.client_left(now, ticket, out),
             Input::Handover { attempt, how } => self.handover(now, attempt, how, out),
             Input::News { id, from, news, report } => self.news(now, &id, &from, news, report, out),
@@ -413,6 +445,7 @@
             Input::Drain(false) => self.draining = None,
             Input::Share { open, successor } => (self.max_open, self.successor) = (open, successor),
             Input::TurnedAway { class } => self.count(class, &Answer::Failed),
+            Input::HandOver => self.hand_over(now, out),
             Input::Written => self.written += 1,
             Input::Unreadable => self.reload_errors += 1,
         }
@@ -459,9 +492,16 @@
 
     // ------------------------------------------------------------ requests
 
-    fn request(&mut self, now: Nanos, ticket: RequestId, job: Job, out: &mut Vec<Effect>) {
+    fn request(
+        &mut self,
+        now: Nanos,
+        ticket: RequestId,
+        job: Job,
+        tries: Option<Vec<Chapter>>,
+        out: &mut Vec<Effect>,
+    ) {
         // Two open requests under one id could be told apart by no worker, and would be two attempts of one.
-        let full = !self.taking(now) || self.requests.len() >= self.max_open;
+        let full = tries.is_none() && (!self.taking(now) || self.requests.len() >= self.max_open);
         let at_once = match self.by_id.contains_key(&job.id) {
             true => Some(Answer::Duplicate),
             false => full.then_some(Answer::Refused { retry_after: Some(300 * MS) }),
@@ -472,7 +512,15 @@
         }
         self.by_id.insert(job.id.clone(), ticket);
         let (class, due) = (job.class, job.due);
-        let request = Request { id: job.id, class, due, answered: false, attempts: Vec::new() };
+        let tries = tries.unwrap_or_default();
+        let known = tries.iter().all(|t| self.workers.contains_key(&t.worker));
+        let attempts = tries.iter().filter_map(|t| {
+            let stage = if t.ran.is_none() { Stage::Taken } else { Stage::Over };
+            let addr = self.workers.get(&t.worker)?.addr;
+            let (worker, may_have_run) = (t.worker.clone(), t.ran.unwrap_or(true));
+            Some(Attempt { worker, addr, sent: t.sent, stage, may_have_run })
+        });
+        let request = Request { id: job.id, class, due, answered: false, attempts: attempts.collect() };
         self.requests.insert(ticket, request);
         self.pending += 1;
         // Guards the one rule that nothing may break: should the module ever hold a request past its due time,
@@ -488,7 +536,42 @@
             hint: None,
             left: job.due.saturating_sub(now),
         };
-        self.decide(now, Event::Request(request), out);
+        if tries.is_empty() {
+            return self.decide(now, Event::Request(request), out);
+        }
+        if !known {
+            // Where it may have run can't be told to the module, which could then send it there or elsewhere again.
+            self.answer(ticket, Answer::Failed, out);
+            return self.abandon_all(now, ticket, out);
+        }
+        for number in 0..tries.len() as u32 {
+            self.set_timer(due, Timer::AttemptEnds(AttemptId(ticket, number)));
+        }
+        let tried = |t: Chapter| Tried { worker: WorkerId(t.worker), sent: t.sent, may_have_run: t.ran };
+        let tries: Vec<Tried> = tries.into_iter().map(tried).collect();
+        self.decide(now, Event::Adopted { request, tries: &tries }, out);
+    }
+
+    /// Gives up what is open to the successor; a request of which a worker is just being told, one way or the other, must
+    /// wait.
+    fn hand_over(&mut self, now: Nanos, out: &mut Vec<Effect>) {
+        let still = |r: &Request| {
+            !r.answered && r.attempts.iter().all(|a| matches!(a.stage, Stage::Taken | Stage::Over))
+        };
+        let movable = self.requests.iter().filter(|(_, r)| still(r)).map(|(t, _)| *t);
+        for ticket in movable.collect::<Vec<_>>() {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            self.by_id.remove(&request.id);
+            self.pending -= 1;
+            let chapter = |a: Attempt| {
+                let ran = (a.stage == Stage::Over).then_some(a.may_have_run);
+                Chapter { worker: a.worker, sent: a.sent, ran }
+            };
+            let tries = request.attempts.into_iter().map(chapter).collect();
+            let tale = Tale { id: request.id, due: request.due, tries };
+            out.push(Effect::HandOver { ticket, tale });
+            self.decide(now, Event::Gone(ticket), out);
+        }
     }
 
     fn client_left(&mut self, now: Nanos, ticket: RequestId, out: &mut Vec<Effect>) {
@@ -559,11 +642,18 @@
                 report: None,
             };
             let addr = SocketAddr::from(([0, 0, 0, 0], 0));
-            request.attempts.push(Attempt { worker: to.0.clone(), addr, sent: now, stage: Stage::Over });
+            request.attempts.push(Attempt {
+                worker: to.0.clone(),
+                addr,
+                sent: now,
+                stage: Stage::Over,
+                may_have_run: false,
+            });
             return self.decide(now, event, out);
         };
         let addr = host.addr;
-        request.attempts.push(Attempt { worker: to.0.clone(), addr, sent: now, stage: Stage::Offered });
+        let (worker, stage) = (to.0.clone(), Stage::Offered);
+        request.attempts.push(Attempt { worker, addr, sent: now, stage, may_have_run: true });
         self.set_timer(until, Timer::AttemptEnds(attempt));
         self.set_timer(until.min(now + TAKE_WAIT), Timer::Untaken(attempt));
         out.push(Effect::Send { attempt, addr, until });
@@ -674,6 +764,7 @@
             return;
         };
         this.stage = Stage::Over;
+        this.may_have_run = !outcome.never_ran();
         let lag = now.saturating_sub(this.sent);
         let event = Event::Ended { id: ticket, attempt: number, outcome, closed, lag, report };
         self.decide(now, event, out);
--- a/spanlead/src/driver.rs
+++ b/spanlead/src/driver.rs
@@ -1,12 +1,12 @@
 //! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
 use crate::config::{Config, Keys, Peers, Shares};
-use crate::core::{Answer, AttemptId, Core, Effect, Input};
-use crate::net::clients::{self, Arrival, Front};
+use crate::core::{Answer, AttemptId, Core, Effect, Input, Tale};
+use crate::net::clients::{self, Arrival, Front, Line};
 use crate::net::discovery::Discovery;
 use crate::net::operator::{self, Asked};
 use crate::net::peers::PeerLink;
 use crate::net::relay::{self, Kin, Link, Passed};
-use crate::net::wire::{Notice, OperatorCall, OperatorReply, Parcel};
+use crate::net::wire::{self, Notice, OperatorCall, OperatorReply, Parcel};
 use crate::net::workers::Pool;
 use bytes::Bytes;
 use oatdock::{ListScope, Nanos, RequestId};
@@ -14,12 +14,14 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
@@ -65,10 +67,17 @@
         heard: Option<oneshot::Sender<()>>,
     },
     Kin(Kin),
+    /// The predecessor has handed over an open request: what became of it so far, its text and its client's socket.
+    Adopted {
+        tale: Tale,
+        text: Bytes,
+        socket: OwnedFd,
+    },
     Input(Input),
 }
 
 struct Open {
+    line: Arc<Line>,
     reply: oneshot::Sender<Answer>,
     parcel: Arc<Parcel>,
 }
@@ -95,6 +104,12 @@
     /// The other processes of this scheduler, while one takes over from another.
     predecessor: Option<Link>,
     successor: Option<Link>,
+    /// Requests that the predecessor has handed over and that are still to be read here, with the notices for them.
+    adopted: HashMap<Arc<str>, (Tale, Vec<Notice>)>,
+    /// Requests that the successor has, and what would answer them here, which must not be heard of again.
+    released: HashMap<Arc<str>, oneshot::Sender<Answer>>,
+    /// Those of them that may still be on their way.
+    leaving: Vec<oneshot::Receiver<()>>,
     /// What this process may hold alone, and beside another.
     shares: [Shares; 2],
     /// The listening socket, until this process can serve where another still does.
@@ -154,6 +169,9 @@
         peers_wanted: config.peers,
         predecessor,
         successor: None,
+        adopted: HashMap::new(),
+        released: HashMap::new(),
+        leaving: Vec::new(),
         shares,
         listener: Some(listener),
         accepting: None,
@@ -259,6 +277,9 @@
         if let Err(error) = self.open_peers() {
             tracing::warn!("{error}");
         }
+        if self.core.finishing(self.clock.now()) && self.successor.is_some() {
+            self.step(Input::HandOver);
+        }
         // An idle client would only find out from its next request that nothing new should come here.
         if self.core.turned_away(self.clock.now()) {
             self.front.close_idle();
@@ -267,8 +288,10 @@
 
     /// With a successor this process must also be done with every connection that it accepted: what they still bring is
     /// served here.
-    fn finished(&self) -> bool {
-        self.core.finished(self.clock.now()) && (self.successor.is_none() || self.front.empty())
+    fn finished(&mut self) -> bool {
+        self.leaving.retain_mut(|arrived| matches!(arrived.try_recv(), Err(TryRecvError::Empty)));
+        let alone = self.successor.is_none() || self.front.empty() && self.leaving.is_empty();
+        self.core.finished(self.clock.now()) && alone
     }
 
     /// Listens for peers. While another process of this scheduler holds the address, that can wait.
@@ -303,25 +326,30 @@
     /// A notice of a job that is not open here is for another process of this scheduler, if there is one.
     fn notice(
         &mut self,
-        mut notice: Notice,
+        notice: Notice,
         body: Bytes,
         from: Option<Link>,
         heard: Option<oneshot::Sender<()>>,
     ) {
         let mut passed = Vec::new();
+        if let Some((_, notices)) = self.adopted.get_mut(&*notice.id) {
+            notices.push(notice);
+            let _ = heard.map(|heard| heard.send(()));
+            return;
+        }
         if !self.core.knows(&notice.id) {
+            // One for a request that was handed over meanwhile goes back, behind it.
+            let from = from.filter(|_| !self.released.contains_key(&*notice.id));
             for link in [&self.predecessor, &self.successor].into_iter().flatten() {
                 if from.as_ref().is_none_or(|f| !f.same_channel(link)) {
                     let (there, arrived) = oneshot::channel();
-                    let _ = link.send(Passed { body: body.clone(), there });
+                    let _ = link.send(Passed::Notice { body: body.clone(), there });
                     passed.push(arrived);
                 }
             }
         }
         if passed.is_empty() {
-            let news = notice.news();
-            let report = notice.load.map(|f| self.reports.report(f));
-            self.step(Input::News { id: notice.id, from: notice.from, news, report });
+            self.heed(notice);
             let _ = heard.map(|heard| heard.send(()));
             return;
         }
@@ -336,6 +364,32 @@
         });
     }
 
+    fn heed(&mut self, mut notice: Notice) {
+        let news = notice.news();
+        let report = notice.load.map(|f| self.reports.report(f));
+        self.step(Input::News { id: notice.id, from: notice.from, news, report });
+    }
+
+    /// Hands an open request to the successor, with its client's socket.
+    fn hand_over(&mut self, ticket: RequestId, tale: Tale) {
+        let (Some(Open { line, reply, parcel }), Some(successor)) =
+            (self.open.remove(&ticket), &self.successor)
+        else {
+            return;
+        };
+        let id = tale.id.clone();
+        match line.release() {
+            Ok(socket) => {
+                let text = wire::again(&parcel).into();
+                let (there, arrived) = oneshot::channel();
+                let _ = successor.send(Passed::Request { tale, text, socket, there });
+                self.leaving.push(arrived);
+                self.released.insert(id, reply);
+            }
+            Err(error) => tracing::warn!(%error, "a request can't be handed over"),
+        }
+    }
+
     fn stop(&mut self) {
         tracing::info!(open = self.open.len(), "stopping");
         // The successor takes what comes from now on, by both addresses.
@@ -348,9 +402,22 @@
 
     fn receive(&mut self, message: Message) {
         match message {
-            Message::Arrival(Arrival { ticket, job, parcel, reply }) => {
-                self.open.insert(ticket, Open { reply, parcel: Arc::new(parcel) });
-                self.step(Input::Request { ticket, job });
+            Message::Arrival(Arrival { ticket, mut job, parcel, line, reply }) => {
+                self.open.insert(ticket, Open { line, reply, parcel: Arc::new(parcel) });
+                let Some((tale, notices)) = self.adopted.remove(&job.id) else {
+                    return self.step(Input::Request { ticket, job, tries: None });
+                };
+                job.due = tale.due;
+                self.step(Input::Request { ticket, job, tries: Some(tale.tries) });
+                notices.into_iter().for_each(|notice| self.heed(notice));
+            }
+            Message::Adopted { tale, text, socket } => {
+                let id = tale.id.clone();
+                self.adopted.insert(id.clone(), (tale, Vec::new()));
+                if let Err(error) = self.front.adopt(socket, text) {
+                    tracing::warn!(%error, "a request that was handed over is lost");
+                    self.adopted.remove(&id);
+                }
             }
             Message::Notice { notice, body, from, heard } => self.notice(notice, body, from, heard),
             Message::Kin(kin) => self.kin(kin),
@@ -426,6 +493,7 @@
                     let _ = to.send(Message::Input(Input::Probed { worker, sent, outcome, report }));
                 });
             }
+            Effect::HandOver { ticket, tale } => self.hand_over(ticket, tale),
             Effect::CloseIdle { addr } => pool.close_idle(addr),
             Effect::Tell { peer, data } => {
                 if let Some(peers) = &self.peers {
--- a/spanlead/src/net/clients.rs
+++ b/spanlead/src/net/clients.rs
@@ -13,6 +13,7 @@
 use oatdock::RequestId;
 use rustix::io::ioctl_fionread;
 use rustix::net::sockopt::socket_acceptconn;
+use rustix::net::{Shutdown, shutdown};
 use settings::Names;
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -21,9 +22,9 @@
 use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot, watch};
@@ -60,6 +61,7 @@
     pub ticket: RequestId,
     pub job: Job,
     pub parcel: Parcel,
+    pub line: Arc<Line>,
     pub reply: oneshot::Sender<Answer>,
 }
 
@@ -83,7 +85,10 @@
 }
 
 /// A connection as the others see it.
-struct Line {
+pub struct Line {
+    socket: Arc<TcpStream>,
+    /// Another process speaks over the socket from now on.
+    released: AtomicBool,
     stage: Mutex<Stage>,
     /// It has brought a job or a notice that could be used.
     proven: AtomicBool,
@@ -96,8 +101,6 @@
     begun: Notify,
     /// What its head shows before HTTP has read it.
     head: Mutex<Head>,
-    /// The socket, once HTTP is done with it.
-    rest: Mutex<Option<TcpStream>>,
 }
 
 #[derive(Clone, Copy)]
@@ -130,8 +133,10 @@
 }
 
 impl Line {
-    fn new() -> Self {
+    fn new(socket: TcpStream) -> Self {
         Line {
+            socket: Arc::new(socket),
+            released: AtomicBool::new(false),
             stage: Mutex::new(Stage::Fresh(Instant::now())),
             proven: AtomicBool::new(false),
             close: Notify::new(),
@@ -139,10 +144,21 @@
             ending: AtomicBool::new(false),
             begun: Notify::new(),
             head: Mutex::default(),
-            rest: Mutex::default(),
         }
     }
 
+    /// Gives the socket up to another process: nothing is read or written here any more.
+    pub fn release(&self) -> io::Result<OwnedFd> {
+        let socket = self.socket.as_fd().try_clone_to_owned()?;
+        self.released.store(true, Ordering::Relaxed);
+        self.cut.notify_one();
+        Ok(socket)
+    }
+
+    fn released(&self) -> bool {
+        self.released.load(Ordering::Relaxed)
+    }
+
     fn ending(&self) -> bool {
         self.ending.load(Ordering::Relaxed)
     }
@@ -210,14 +226,14 @@
 /// A line is busy while this lives: from a request's head to its answer.
 struct Busy<'a> {
     front: &'a Front,
-    line: &'a Line,
+    line: &'a Arc<Line>,
     /// When the request began to come in.
     since: Instant,
     head: Head,
 }
 
 impl<'a> Busy<'a> {
-    fn new(front: &'a Front, line: &'a Line) -> Self {
+    fn new(front: &'a Front, line: &'a Arc<Line>) -> Self {
         let since = match std::mem::replace(&mut *lock(&line.stage), Stage::Busy) {
             Stage::Reading(coming) => coming.since,
             // Its head came together with the end of the request before.
@@ -257,22 +273,35 @@
     }
 }
 
-/// The stream under a connection: it notices when a request begins to come in, tells HTTP of the end of a connection that
-/// is to end once nothing is left to read, and leaves the socket behind.
+/// The stream under a connection: it notices when a request begins to come in, and tells HTTP of the end of a connection
+/// that is to end once nothing is left to read. A request that another process had read comes before what the socket brings.
 struct Tap {
-    stream: Option<TcpStream>,
+    again: Bytes,
     line: Arc<Line>,
 }
 
 impl Tap {
-    fn stream(self: Pin<&mut Self>) -> io::Result<Pin<&mut TcpStream>> {
-        self.get_mut().stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
-    }
-}
-
-impl Drop for Tap {
-    fn drop(&mut self) {
-        *lock(&self.line.rest) = self.stream.take();
+    fn read(&mut self, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.again.is_empty() {
+            let piece = self.again.split_to(self.again.len().min(to.remaining()));
+            to.put_slice(&piece);
+            return Poll::Ready(Ok(()));
+        }
+        let socket = &self.line.socket;
+        if self.line.ending() && self.line.idle() && ioctl_fionread(socket.as_fd()) == Ok(0) {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            ready!(socket.poll_read_ready(cx))?;
+            match socket.try_read(to.initialize_unfilled()) {
+                Ok(n) => {
+                    to.advance(n);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
@@ -283,11 +312,8 @@
         to: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = to.filled().len();
-        let line = self.line.clone();
-        if line.ending() && line.idle() && ioctl_fionread(self.as_mut().stream()?.as_fd()) == Ok(0) {
-            return Poll::Ready(Ok(()));
-        }
-        let read = self.as_mut().stream()?.poll_read(cx, to);
+        let read = self.read(cx, to);
+        let line = &self.line;
         if to.filled().len() > before {
             let mut stage = lock(&line.stage);
             let last = Instant::now();
@@ -305,19 +331,27 @@
 
 impl AsyncWrite for Tap {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write(cx, bytes)
+        let socket = &self.line.socket;
+        loop {
+            ready!(socket.poll_write_ready(cx))?;
+            match socket.try_write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream()?.poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream()?.poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(shutdown(self.line.socket.as_fd(), Shutdown::Write)?))
     }
 }
 
-/// Tells the driver if a request's connection ends before its answer came: dropped with the request's future.
+/// Tells the driver if a request's connection ends before its answer came: dropped with the request's future. Of one that
+/// was handed over the reducer knows nothing any more.
 struct Departure<'a> {
     ticket: RequestId,
     to: &'a UnboundedSender<Message>,
@@ -375,19 +409,7 @@
         loop {
             self.room().await;
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    // Entered here, not by the task, which may start much later: what is not entered can't be asked
-                    // to make room, and accepting would wait for it for ever.
-                    let number = self.tickets.fetch_add(1, Ordering::Relaxed);
-                    let line = Arc::new(Line::new());
-                    lock(&self.lines).insert(number, line.clone());
-                    let front = self.clone();
-                    tokio::spawn(async move {
-                        front.connection(stream, &line).await;
-                        lock(&front.lines).remove(&number);
-                        front.ended.notify_waiters();
-                    });
-                }
+                Ok((stream, _)) => self.enter(stream, Bytes::new()),
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
                     sleep_until(Instant::now() + ACCEPT_AGAIN).await;
@@ -396,6 +418,29 @@
         }
     }
 
+    /// Takes a connection in. Entered here, not by its task, which may start much later: what is not entered can't be asked
+    /// to make room, and accepting would wait for it for ever.
+    fn enter(self: &Arc<Self>, stream: TcpStream, again: Bytes) {
+        let _ = stream.set_nodelay(true);
+        let number = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let line = Arc::new(Line::new(stream));
+        lock(&self.lines).insert(number, line.clone());
+        let front = self.clone();
+        tokio::spawn(async move {
+            front.connection(again, &line).await;
+            lock(&front.lines).remove(&number);
+            front.ended.notify_waiters();
+        });
+    }
+
+    /// Takes in a connection that another process accepted, with the request that it had read from it.
+    pub fn adopt(self: &Arc<Self>, socket: OwnedFd, again: Bytes) -> io::Result<()> {
+        let stream = std::net::TcpStream::from(socket);
+        stream.set_nonblocking(true)?;
+        self.enter(TcpStream::from_std(stream)?, again);
+        Ok(())
+    }
+
     /// Changes how many connections are held at the most; those above it make room one by one.
     pub fn set_budget(&self, budget: usize) {
         self.budget.store(budget, Ordering::Relaxed);
@@ -464,22 +509,19 @@
     }
 
     /// Serves one connection to its end.
-    async fn connection(&self, stream: TcpStream, line: &Arc<Line>) {
-        let _ = stream.set_nodelay(true);
-        let stream = Tap { stream: Some(stream), line: line.clone() };
-        let in_order = self.serve(stream, line).await;
+    async fn connection(&self, again: Bytes, line: &Arc<Line>) {
+        let in_order = self.serve(Tap { again, line: line.clone() }, line).await;
         *lock(&line.stage) = Stage::Lingering;
-        let rest = lock(&line.rest).take();
-        if let Some(stream) = rest.filter(|_| in_order) {
+        if in_order {
             tokio::select! {
-                () = linger(stream, Instant::now() + LINGER) => {}
+                () = linger(&line.socket, Instant::now() + LINGER) => {}
                 () = line.cut.notified() => {}
             }
         }
     }
 
     /// Speaks HTTP over a connection. Returns whether that came to its end in order, our side of it closed.
-    async fn serve(&self, stream: Tap, line: &Line) -> bool {
+    async fn serve(&self, stream: Tap, line: &Arc<Line>) -> bool {
         let service = service_fn(|request| {
             let busy = Busy::new(self, line);
             async move {
@@ -500,7 +542,7 @@
                 () = line.begun.notified() => {}
                 // What has begun to come in is still served; the stream tells HTTP of the end when nothing is left.
                 () = line.close.notified() => line.ending.store(true, Ordering::Relaxed),
-                () = line.cut.notified() => if !matches!(line.stage(), Stage::Busy) { return false },
+                () = line.cut.notified() => if line.released() || !matches!(line.stage(), Stage::Busy) { return false },
                 () = sleep_until(line.end()) => if line.end() <= Instant::now() { return false },
             }
         }
@@ -576,7 +618,8 @@
         busy.line.proven.store(true, Ordering::Relaxed);
         let ticket = RequestId(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
-        let arrival = Arrival { ticket, job, parcel: wire::parcel(head, body), reply };
+        let line = busy.line.clone();
+        let arrival = Arrival { ticket, job, parcel: wire::parcel(head, body), line, reply };
         let mut departure = Departure { ticket, to: &self.to, answered: false };
         let _ = self.to.send(Message::Arrival(arrival));
         let answer = answer.await.unwrap_or(Answer::Failed);
@@ -586,13 +629,14 @@
 }
 
 /// Reads on, within bounds, until the other side has closed.
-async fn linger(mut stream: TcpStream, until: Instant) {
+async fn linger(stream: &TcpStream, until: Instant) {
     let mut buffer = [0; 8 * 1024];
     let mut left = LINGER_BYTES;
-    while let Ok(Ok(n @ 1..)) = timeout_at(until, stream.read(&mut buffer)).await {
-        left = left.saturating_sub(n);
-        if left == 0 {
-            return;
+    while left > 0 && matches!(timeout_at(until, stream.readable()).await, Ok(Ok(()))) {
+        match stream.try_read(&mut buffer) {
+            Ok(n @ 1..) => left = left.saturating_sub(n),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            _ => return,
         }
     }
 }
--- a/spanlead/src/net/relay.rs
+++ b/spanlead/src/net/relay.rs
@@ -1,15 +1,23 @@
 //! The link between two processes of one scheduler while one takes over from the other. Both accept connections from the
 //! same listening socket, so a worker's notice may reach the one that knows nothing of its job: it is passed on over a
-//! Unix socket, and the worker is answered when the other process has it. The link also tells that the other lives.
+//! Unix socket, and the worker is answered when the other process has it. What is still open when the old process is to
+//! end goes the same way, with the clients' sockets. The link also tells that the other lives.
 use super::wire::{MAX_BODY, Notice};
+use crate::core::Tale;
 use crate::driver::Message;
-use bytes::Bytes;
-use std::collections::HashMap;
-use std::io;
+use bytes::{Buf, Bytes, BytesMut};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, BufWriter};
-use tokio::net::unix::OwnedReadHalf;
+use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -18,10 +26,12 @@
 /// The pause before the socket is made again.
 const LISTEN_AGAIN: Duration = Duration::from_millis(500);
 
-/// A notice for the other process, and who waits to hear that it is there.
-pub struct Passed {
-    pub body: Bytes,
-    pub there: oneshot::Sender<()>,
+/// What goes to the other process.
+pub enum Passed {
+    /// A notice, and who waits to hear that it is there.
+    Notice { body: Bytes, there: oneshot::Sender<()> },
+    /// An open request: what became of it so far, its text and its client's socket, and who waits to hear likewise.
+    Request { tale: Tale, text: Bytes, socket: OwnedFd, there: oneshot::Sender<()> },
 }
 
 /// The way to another process of this scheduler.
@@ -84,22 +94,106 @@
     link
 }
 
-/// What goes over the link: a notice's number and text, or the number of one that has come, with no text.
-struct Frame {
-    number: u64,
-    body: Bytes,
+/// What goes over the link, after its number, kind and length.
+enum Frame {
+    /// The notice of that number has come.
+    There,
+    Notice(Bytes),
+    /// What became of a request so far, as a line of JSON, then its text. Its client's socket comes beside it.
+    Request(Bytes),
 }
 
+/// The most that a frame holds: a request with a long head and body, and its tale.
+const MAX_FRAME: usize = 4 * MAX_BODY;
+const HEAD: usize = 8 + 1 + 4;
+
 impl Frame {
-    async fn read(from: &mut BufReader<OwnedReadHalf>) -> io::Result<Self> {
-        let (number, length) = (from.read_u64().await?, from.read_u32().await? as usize);
-        if length > MAX_BODY {
+    fn encode(&self, number: u64) -> Vec<u8> {
+        let (kind, body): (u8, &[u8]) = match self {
+            Frame::There => (0, &[]),
+            Frame::Notice(body) => (1, body),
+            Frame::Request(body) => (2, body),
+        };
+        [&number.to_be_bytes()[..], &[kind], &(body.len() as u32).to_be_bytes(), body].concat()
+    }
+}
+
+/// The reading side of a link. Sockets that come beside the bytes are kept in their order.
+struct Reader {
+    stream: Arc<UnixStream>,
+    buffer: BytesMut,
+    sockets: VecDeque<OwnedFd>,
+}
+
+impl Reader {
+    /// The next frame and its number.
+    async fn next(&mut self) -> io::Result<(u64, Frame)> {
+        while self.buffer.len() < HEAD {
+            self.fill().await?;
+        }
+        let mut head = self.buffer.split_to(HEAD);
+        let (number, kind, length) = (head.get_u64(), head.get_u8(), head.get_u32() as usize);
+        if length > MAX_FRAME {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        let mut body = vec![0; length];
-        from.read_exact(&mut body).await?;
-        Ok(Frame { number, body: body.into() })
+        while self.buffer.len() < length {
+            self.fill().await?;
+        }
+        let body = self.buffer.split_to(length).freeze();
+        match kind {
+            0 => Ok((number, Frame::There)),
+            1 => Ok((number, Frame::Notice(body))),
+            2 => Ok((number, Frame::Request(body))),
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<()> {
+        let mut chunk = [0; 16 * 1024];
+        loop {
+            self.stream.readable().await?;
+            let read = self.stream.try_io(Interest::READABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(4))];
+                let mut beside = RecvAncillaryBuffer::new(&mut space);
+                let mut into = [IoSliceMut::new(&mut chunk)];
+                let read = recvmsg(&*self.stream, &mut into, &mut beside, RecvFlags::CMSG_CLOEXEC)?;
+                for message in beside.drain() {
+                    if let RecvAncillaryMessage::ScmRights(sockets) = message {
+                        self.sockets.extend(sockets);
+                    }
+                }
+                Ok(read.bytes)
+            });
+            match read {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => return Ok(self.buffer.extend_from_slice(&chunk[..n])),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
+
+/// Writes bytes, with a socket beside the first of them.
+async fn write(stream: &UnixStream, mut bytes: &[u8], mut socket: Option<OwnedFd>) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        let wrote = stream.try_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut beside = SendAncillaryBuffer::new(&mut space);
+            let sockets = socket.as_ref().map(AsFd::as_fd);
+            if let Some(socket) = &sockets {
+                beside.push(SendAncillaryMessage::ScmRights(std::slice::from_ref(socket)));
+            }
+            Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut beside, SendFlags::NOSIGNAL)?)
+        });
+        match wrote {
+            Ok(n) => (bytes, socket) = (&bytes[n..], None),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
     }
+    Ok(())
 }
 
 async fn talk(
@@ -108,45 +202,63 @@
     this: &Link,
     to: &UnboundedSender<Message>,
 ) -> io::Result<()> {
-    let (reader, writer) = stream.into_split();
-    let (mut reader, mut writer) = (BufReader::new(reader), BufWriter::new(writer));
-    // Reading must not be broken off between two bytes, so it has a task of its own, which ends with this one.
+    let stream = Arc::new(stream);
+    let mut reader = Reader { stream: stream.clone(), buffer: BytesMut::new(), sockets: VecDeque::new() };
+    // It reads beside the writing, so that two full sockets can't wait for each other, and ends with this.
     let (frames, mut come) = unbounded_channel();
     let reading = tokio::spawn(async move {
         let mut goes_on = true;
         while goes_on {
-            let frame = Frame::read(&mut reader).await;
+            let frame = reader.next().await;
             goes_on = frame.is_ok();
-            goes_on &= frames.send(frame).is_ok();
+            let socket = match &frame {
+                Ok((_, Frame::Request(_))) => reader.sockets.pop_front(),
+                _ => None,
+            };
+            goes_on &= frames.send(frame.map(|frame| (frame, socket))).is_ok();
         }
     });
     let _reading = AbortOnDrop(reading.abort_handle());
-    let (mut last, mut waiting) = (0, HashMap::new());
+    let mut last: u64 = 0;
+    let mut waiting: HashMap<u64, oneshot::Sender<()>> = HashMap::new();
     loop {
-        let frame = tokio::select! {
-            Some(Passed { body, there }) = passed.recv() => {
+        tokio::select! {
+            Some(passed) = passed.recv() => {
                 last += 1;
-                waiting.insert(last, there);
-                Frame { number: last, body }
+                let (frame, socket) = match passed {
+                    Passed::Notice { body, there } => {
+                        waiting.insert(last, there);
+                        (Frame::Notice(body), None)
+                    }
+                    Passed::Request { tale, text, socket, there } => {
+                        waiting.insert(last, there);
+                        let tale = serde_json::to_vec(&tale)?;
+                        (Frame::Request([&tale, &b"\n"[..], &text].concat().into()), Some(socket))
+                    }
+                };
+                write(&stream, &frame.encode(last), socket).await?;
             }
-            Some(frame) = come.recv() => {
-                let Frame { number, body } = frame?;
-                if body.is_empty() {
-                    let there: Option<oneshot::Sender<()>> = waiting.remove(&number);
-                    let _ = there.map(|there| there.send(()));
-                    continue;
+            Some(frame) = come.recv() => match frame? {
+                ((number, Frame::There), _) => {
+                    let _ = waiting.remove(&number).map(|there| there.send(()));
                 }
-                if let Some(notice) = Notice::read(&body) {
-                    let from = Some(this.clone());
-                    let _ = to.send(Message::Notice { notice, body, from, heard: None });
+                ((number, Frame::Notice(body)), _) => {
+                    if let Some(notice) = Notice::read(&body) {
+                        let from = Some(this.clone());
+                        let _ = to.send(Message::Notice { notice, body, from, heard: None });
+                    }
+                    write(&stream, &Frame::There.encode(number), None).await?;
                 }
-                Frame { number, body: Bytes::new() }
-            }
-        };
-        writer.write_u64(frame.number).await?;
-        writer.write_u32(frame.body.len() as u32).await?;
-        writer.write_all(&frame.body).await?;
-        writer.flush().await?;
+                ((number, Frame::Request(mut body)), socket) => {
+                    let line = body.iter().position(|b| *b == b'\n').ok_or(io::ErrorKind::InvalidData)?;
+                    let tale = serde_json::from_slice(&body.split_to(line))?;
+                    body.advance(1);
+                    let socket = socket.ok_or(io::ErrorKind::InvalidData)?;
+                    let _ = to.send(Message::Adopted { tale, text: body, socket });
+                    write(&stream, &Frame::There.encode(number), None).await?;
+                }
+            },
+        }
     }
 }
 
--- a/spanlead/src/net/wire.rs
+++ b/spanlead/src/net/wire.rs
@@ -2,7 +2,10 @@
 use crate::core::{Answer, Figures as Shown, Host, Job, News};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, HeaderName, HeaderValue, RETRY_AFTER,
+    TRANSFER_ENCODING,
+};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use oatdock::{Nanos, Report, WorkerState};
@@ -38,14 +41,12 @@
 
 // ---------------------------------------------------------------- clients
 
-/// What of a client's request goes on to a worker unchanged.
+/// A client's request: what goes on to a worker unchanged, and all that another process must read.
 #[derive(Debug)]
 pub struct Parcel {
     method: Method,
     uri: Uri,
-    id: HeaderValue,
-    idempotency_key: Option<HeaderValue>,
-    content_type: Option<HeaderValue>,
+    headers: HeaderMap,
     body: Bytes,
 }
 
@@ -110,10 +111,19 @@
 
 /// Keeps what a worker will need of a request.
 pub fn parcel(head: Parts, body: Bytes) -> Parcel {
-    let header = |name: &HeaderName| head.headers.get(name).cloned();
-    let id = header(&REQ_ID).unwrap_or(HeaderValue::from_static(""));
-    let (idempotency_key, content_type) = (header(&IDEMPOTENCY_KEY), header(&CONTENT_TYPE));
-    Parcel { method: head.method, uri: head.uri, id, idempotency_key, content_type, body }
+    Parcel { method: head.method, uri: head.uri, headers: head.headers, body }
+}
+
+/// The request as text, as if it came from the client again, the length of its body told in one way.
+pub fn again(parcel: &Parcel) -> Vec<u8> {
+    let mut text = format!("{} {} HTTP/1.1\r\n", parcel.method, parcel.uri).into_bytes();
+    let framing = [CONTENT_LENGTH, TRANSFER_ENCODING, EXPECT, CONNECTION];
+    for (name, value) in parcel.headers.iter().filter(|(name, _)| !framing.contains(name)) {
+        text.extend([name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"].concat());
+    }
+    text.extend(format!("content-length: {}\r\n\r\n", parcel.body.len()).into_bytes());
+    text.extend_from_slice(&parcel.body);
+    text
 }
 
 /// A request's final answer.
@@ -280,10 +290,10 @@
     *request.uri_mut() = parcel.uri.clone();
     let headers = request.headers_mut();
     headers.insert(HOST, HeaderValue::from_static("backend.local"));
-    headers.insert(&REQ_ID, parcel.id.clone());
     headers.insert(&REQ_DEADLINE, HeaderValue::from(left_ms));
-    let optional = [(IDEMPOTENCY_KEY.clone(), &parcel.idempotency_key), (CONTENT_TYPE, &parcel.content_type)];
-    headers.extend(optional.into_iter().filter_map(|(name, value)| Some((name, value.clone()?))));
+    let unchanged = [&REQ_ID, &IDEMPOTENCY_KEY, &CONTENT_TYPE];
+    let given = |name: &HeaderName| Some((name.clone(), parcel.headers.get(name)?.clone()));
+    headers.extend(unchanged.into_iter().filter_map(given));
     request
 }
 
--- a/spanlead/tests/harness/mod.rs
+++ b/spanlead/tests/harness/mod.rs
@@ -294,7 +294,14 @@
     }
 
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("it ends")
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.child.try_wait().expect("a child") {
+                Some(status) => return status,
+                None => assert!(Instant::now() < until, "it goes on"),
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
     }
 }
 
--- a/spanlead/tests/serve.rs
+++ b/spanlead/tests/serve.rs
@@ -673,8 +673,9 @@
 }
 
 // Guards an upgrade: two processes serve by one inherited socket. Neither a file left behind nor the peers' address, which
-// the old one holds, hinders the new one; a notice that reaches the wrong process finds its job; each keeps to half of the
-// machine; the old one, told to end, takes no connection any more but serves what it had accepted.
+// the old one holds, hinders the new one; a notice that reaches the wrong process finds its job; the old one, told to end,
+// takes no connection any more, hands what is open to the new one with its clients' connections, and ends before that is
+// done; the rules on repeats go on from what was tried.
 #[test]
 fn a_second_process_takes_over_and_nothing_is_lost() {
     let (discovery, worker) = (Server::start(), Server::start());
@@ -689,33 +690,45 @@
     let known = [worker.entry("s-a", "active")];
     let start = || Scheduler::start_beside(&platform, &folder, discovery.addr, &known, &edits);
     let mut old = start();
-    let (mut client, mut idle) = (old.client(), old.client());
-    let mut slow = old.client();
-    client.job("once", "id-1", 60_000);
-    take(worker.next());
-    slow.write(&head("id-2", 60_000));
-    // It serves all three connections before there is another who could.
+    let [mut soon, mut client, mut lost, mut slow, mut idle] = std::array::from_fn(|_| old.client());
+    for (id, client) in [("id-0", &mut soon), ("id-1", &mut client), ("id-2", &mut lost)] {
+        client.job("once", id, 60_000);
+        take(worker.next());
+    }
+    slow.write(&head("id-3", 60_000));
+    // It serves all these connections before there is another who could.
     old.health();
     let new = start();
     old.logged("successor=true");
     assert_eq!(new.operate("GET /ops/readiness"), "200 yes\n");
     old.terminate();
+    old.logged("stopping");
+    // Only the new one accepts by now, and the old one has the job.
+    let done = r#""state":"done","result":"r""#;
+    assert_eq!(new.client().notice("id-0", "s-a", done), "HTTP/1.1 200 OK");
+    assert_eq!(soon.answer().body, "r");
     assert!(idle.closed());
     slow.write("Content-Length: 0\r\n\r\n");
     take(worker.next());
-    // Only the new one accepts by now.
-    let mut third = new.client();
-    third.job("once", "id-3", 60_000);
-    take(worker.next());
-    for (id, client) in [("id-1", &mut client), ("id-2", &mut slow), ("id-3", &mut third)] {
-        assert_eq!(new.client().notice(id, "s-a", r#""state":"done","result":"r""#), "HTTP/1.1 200 OK");
-        assert_eq!(client.answer().body, "r");
-    }
     assert!(old.wait().success());
     new.logged("predecessor=false");
-    third.job("once", "id-4", 60_000);
+    for (id, client) in [("id-1", &mut client), ("id-3", &mut slow)] {
+        new.client().notice(id, "s-a", done);
+        assert_eq!(client.answer().body, "r");
+    }
+    new.client().notice("id-2", "s-a", r#""state":"lost""#);
+    assert_eq!(lost.answer().start, "HTTP/1.1 502 Bad Gateway");
+    assert!(worker.unasked());
+    // The connection goes on where it is now.
+    client.job("once", "id-4", 60_000);
     assert_eq!(worker.next().message.header("req-id"), Some("id-4"));
     UdpSocket::bind(peers).expect_err("the new one has taken the peers' address");
+    assert_snapshot!(new.operate("GET /ops/stats").replace("},", "},\n"), @r#"
+    200 {"downstream_requests":{"guest-visit":{"completed":0,"rejected":0,"failed":0},
+    "once":{"completed":1,"rejected":0,"failed":1},
+    "status-check":{"completed":1,"rejected":0,"failed":0}},
+    "upstream_requests":1,"pending":1,"members":1,"members_unavailable":0,"config_reloads":0,"config_reload_errors":0}
+    "#);
 }
 
 // Guards clients that send their bodies in chunks, perhaps asking first: they were refused, as a length told in two ways is.
--- a/src/api.rs
+++ b/src/api.rs
@@ -330,6 +330,17 @@
     }
 }
 
+/// An attempt that another process of this dispatcher made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tried {
+    /// Its worker.
+    pub worker: WorkerId,
+    /// When it was sent.
+    pub sent: Nanos,
+    /// Whether it may have run; `None` while it is out.
+    pub may_have_run: Option<bool>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -398,6 +409,13 @@
     },
     /// A request arrived and is owed exactly one final answer.
     Request(Request),
+    /// A request that another process of this dispatcher took; it is owed its one final answer here now.
+    Adopted {
+        /// The request.
+        request: Request,
+        /// Its attempts so far, at workers that the list has named.
+        tries: &'a [Tried],
+    },
     /// A streamed answer has begun.
     FirstByte {
         /// The request.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -434,7 +434,8 @@
     pub fn handle(&mut self, now: Nanos, event: Event<'_>, out: &mut Vec<Action>) {
         match event {
             Event::Members { scope, entries } => self.members(now, scope, entries, out),
-            Event::Request(req) => self.request(now, req, out),
+            Event::Request(req) => self.request(now, req, &[], out),
+            Event::Adopted { request, tries } => self.request(now, request, tries, out),
             Event::FirstByte { id, .. } => {
                 if let Some(job) = self.ids.get(&id).and_then(|s| self.jobs.get_mut(s)) {
                     job.streaming = true;
@@ -584,21 +585,34 @@
 
     // ------------------------------------------------------------ walkers and choice
 
-    fn request(&mut self, now: Nanos, req: Request, out: &mut Vec<Action>) {
+    /// Takes a request, perhaps one that another process of this dispatcher has begun.
+    fn request(&mut self, now: Nanos, req: Request, tried: &[Tried], out: &mut Vec<Action>) {
         self.serial += 1;
         let serial = self.serial;
         self.ids.insert(req.id, serial);
         self.admit = (self.admit * (1.0 + ADMIT_DRIFT)).min(1.0);
         self.retry_tokens = (self.retry_tokens + 0.3).min(10.0);
+        let mut tries = Vec::new();
+        for t in tried {
+            let Some(&worker) = self.index.get(&t.worker.0) else { continue };
+            let fate =
+                t.may_have_run.map_or(Fate::Out, |ran| if ran { Fate::MayHaveRan } else { Fate::NeverRan });
+            if fate == Fate::Out {
+                self.workers[worker as usize].add_own(now, req.slots, self.report_age);
+            }
+            let (sent, heard) = (t.sent, Some(now));
+            tries.push(Try { worker, sent, fate, started: true, heard, fetches: false, top: false });
+        }
+        let out_there = tries.iter().any(|t| t.fate == Fate::Out);
         self.jobs.insert(
             serial,
             Job {
                 arrived: now,
                 due: now + req.left,
                 attempts: self.set.limits.attempts as usize,
-                phase: Phase::Held,
+                phase: if out_there { Phase::Sent } else { Phase::Held },
                 streaming: false,
-                tries: Vec::new(),
+                tries,
                 candidates: Vec::new(),
                 round_at: now,
                 rounds: 0,
@@ -606,7 +620,9 @@
                 req,
             },
         );
-        self.decide(now, serial, out);
+        if !out_there {
+            self.decide(now, serial, out);
+        }
     }
 
     /// A round for a job in hand: draw candidates, then send at once or hold it for their probes.
