Keep the headers of a handover in their order, and let the lints pass again

At fault: wire.rs (handover), which put the deadline in first, and relay.rs (fill). No effect on what is decided.

--- a/spanlead/src/net/relay.rs
+++ b/spanlead/src/net/relay.rs
@@ -166,7 +166,10 @@
             });
             match read {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(n) => return Ok(self.buffer.extend_from_slice(&chunk[..n])),
+                Ok(n) => {
+                    self.buffer.extend_from_slice(&chunk[..n]);
+                    return Ok(());
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
--- a/spanlead/src/net/wire.rs
+++ b/spanlead/src/net/wire.rs
@@ -290,10 +290,12 @@
     *request.uri_mut() = parcel.uri.clone();
     let headers = request.headers_mut();
     headers.insert(HOST, HeaderValue::from_static("backend.local"));
+    for name in [&REQ_ID, &REQ_DEADLINE, &IDEMPOTENCY_KEY, &CONTENT_TYPE] {
+        if let Some(value) = parcel.headers.get(name) {
+            headers.insert(name, value.clone());
+        }
+    }
     headers.insert(&REQ_DEADLINE, HeaderValue::from(left_ms));
-    let unchanged = [&REQ_ID, &IDEMPOTENCY_KEY, &CONTENT_TYPE];
-    let given = |name: &HeaderName| Some((name.clone(), parcel.headers.get(name)?.clone()));
-    headers.extend(unchanged.into_iter().filter_map(given));
     request
 }
 
