--- a/spanlead/src/net/relay.rs
+++ b/spanlead/src/net/relay.rs
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, sleep_until};
 
 /// The pause before the socket is made again.
-const LISTEN_AGAIN: Duration = Duration::from_millis(500);
+const LISTEN_AGAIN: Duration = Duration::from_secs(5);
 
 /// What goes to the other process.
 pub enum Passed {
