Move everything into crates by concern and break the circle of config, driver and net

The ledger needs a home for state below the program, and config, driver and net imported each other in a ring, so nothing could go between them. Crates under crates/ now point one way: oatdock < settings < core (the reducer) < net < spanlead (the program). The clock and the messages to the driver have a place of their own in net, below the driver; the peers' addresses moved from config to net/peers. The module is as it was but for one expression that a newer lint asks for.

--- a/spanlead/src/core.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! The reducer: every change of state goes through [`Core::step`]. It owns the dispatcher, the requests, their
 //! attempts and the timers, knows no socket and no protocol, and is told the time. What is to be read or written it
 //! asks for as [`Effect`]s.
+#![allow(missing_docs, reason = "fields and variants that say what they are need no second saying")]
 use oatdock::{
     Action, Dispatcher, Entry, Event, ListScope, Nanos, Note, Outcome, Report, RequestId, Settings,
     SettingsError, Tried, WorkerId, WorkerState,
--- a/spanlead/src/net/clients.rs
+++ b/crates/net/src/clients.rs
@@ -1,7 +1,6 @@
 //! The listener that clients and the workers' notices share.
 use super::{lock, wire};
-use crate::core::{Answer, Input, Job};
-use crate::driver::{Clock, Message};
+use crate::{Clock, Message};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -15,6 +14,7 @@
 use rustix::net::sockopt::socket_acceptconn;
 use rustix::net::{Shutdown, shutdown};
 use settings::Names;
+use spanlead_core::{Answer, Input, Job};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
--- /dev/null
+++ b/crates/net/src/clock.rs
@@ -0,0 +1,31 @@
+//! The clock that everything goes by.
+use oatdock::Nanos;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The monotonic clock, counted so that its start lies at the wall clock's time of then: list entries' wall-clock
+/// times can be set against it, and it never jumps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    wall: Nanos,
+}
+
+impl Clock {
+    /// A clock that begins now.
+    #[allow(clippy::new_without_default, reason = "when it is made matters")]
+    pub fn new() -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
+        Clock { start: Instant::now(), wall }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Nanos {
+        self.wall + self.start.elapsed().as_nanos() as Nanos
+    }
+
+    /// The runtime's word for a time.
+    pub fn instant(&self, at: Nanos) -> Instant {
+        self.start + Duration::from_nanos(at.saturating_sub(self.wall))
+    }
+}
--- a/spanlead/src/net/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -1,11 +1,11 @@
 //! The list of workers: a watch that goes on until it fails, and single calls.
 use super::wire::{self, Body, List};
 use super::workers::{Connection, connect};
-use crate::core::{Host, Input};
-use crate::driver::Message;
+use crate::Message;
 use hyper::{Request, StatusCode};
 use oatdock::ListScope;
 use settings::Names;
+use spanlead_core::{Host, Input};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/net/src/message.rs
@@ -0,0 +1,28 @@
+//! What reaches the driver.
+use crate::clients::Arrival;
+use crate::relay::{Kin, Link};
+use crate::wire::Notice;
+use bytes::Bytes;
+use spanlead_core::{Input, Tale};
+use std::os::fd::OwnedFd;
+use tokio::sync::oneshot;
+
+/// What reaches the driver.
+pub enum Message {
+    Arrival(Arrival),
+    /// A worker's notice: its text, the link that it came over, and who waits to hear that it has arrived.
+    Notice {
+        notice: Notice,
+        body: Bytes,
+        from: Option<Link>,
+        heard: Option<oneshot::Sender<()>>,
+    },
+    Kin(Kin),
+    /// The predecessor has handed over an open request: what became of it so far, its text and its client's socket.
+    Adopted {
+        tale: Tale,
+        text: Bytes,
+        socket: OwnedFd,
+    },
+    Input(Input),
+}
--- a/spanlead/src/net/peers.rs
+++ b/crates/net/src/peers.rs
@@ -1,7 +1,6 @@
 //! Short messages between schedulers.
-use crate::config::Peers;
-use crate::core::Input;
-use crate::driver::Message;
+use crate::Message;
+use spanlead_core::Input;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +14,13 @@
 /// The pause after a failed receive.
 const RECEIVE_AGAIN: Duration = Duration::from_millis(20);
 
+/// Where the other schedulers are.
+pub struct Peers {
+    pub listen: SocketAddr,
+    pub each: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
 /// The socket that the schedulers' messages come and go by; dropping it gives the address up.
 pub struct PeerLink {
     socket: Arc<UdpSocket>,
--- a/spanlead/src/net/relay.rs
+++ b/crates/net/src/relay.rs
@@ -3,13 +3,13 @@
 //! Unix socket, and the worker is answered when the other process has it. What is still open when the old process is to
 //! end goes the same way, with the clients' sockets. The link also tells that the other lives.
 use super::wire::{MAX_BODY, Notice};
-use crate::core::Tale;
-use crate::driver::Message;
+use crate::Message;
 use bytes::{Buf, Bytes, BytesMut};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
+use spanlead_core::Tale;
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
--- a/spanlead/src/net/wire.rs
+++ b/crates/net/src/wire.rs
@@ -1,5 +1,4 @@
 //! The messages on the sockets: each is decoded once into a small typed value, and encoded once.
-use crate::core::{Answer, Figures as Shown, Host, Job, News};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{
@@ -11,6 +10,7 @@
 use oatdock::{Nanos, Report, WorkerState};
 use serde::Deserialize;
 use settings::{Figures, Names, Reports, position};
+use spanlead_core::{Answer, Figures as Shown, Host, Job, News};
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -370,7 +370,7 @@
                     Health::Leaving => WorkerState::Draining,
                     Health::Left => WorkerState::Gone,
                 },
-                // The scheduler's clock is anchored to the wall clock at its start: see `driver::Clock`.
+                // The scheduler's clock is anchored to the wall clock at its start: see `crate::Clock`.
                 started: Some(row.born_ms * 1_000_000).filter(|t| *t > 0),
                 kind: number(&names.kinds, &row.class),
                 zone: number(&names.zones, &row.site),
--- a/spanlead/src/net/workers.rs
+++ b/crates/net/src/workers.rs
@@ -1,7 +1,6 @@
 //! Connections to workers, the pool that keeps them between requests, and what is asked over them.
 use super::lock;
 use super::wire::{self, Body, Parcel, Reply};
-use crate::core::Handover;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -9,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use oatdock::{Outcome, Report};
 use settings::Reports;
+use spanlead_core::Handover;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
--- a/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -178,7 +178,7 @@
             Ok(p) => (p + 1, p + n - 1),
             Err(p) => (p, p + n - 1),
         };
-        cycle[if edge % 2 == 0 { next } else { prev } % n].1
+        cycle[if edge.is_multiple_of(2) { next } else { prev } % n].1
     }
 
     /// One step to a uniform neighbour, never back along the edge the walker came by (a graph of two aside).
--- a/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -1,13 +1,14 @@
 //! The one place where configuration is read, checked and given defaults.
-use crate::core::Host;
-use crate::net::clients::MAX_HEAD;
-use crate::net::operator::MAX_CALLS;
-use crate::net::wire;
-use crate::net::workers::Tuning;
 use oatdock::Dispatcher;
 use serde::Deserialize;
 use serde_json::Value;
 use settings::{BadField, Deployment, Options};
+use spanlead_core::Host;
+use spanlead_net::clients::MAX_HEAD;
+use spanlead_net::operator::MAX_CALLS;
+use spanlead_net::peers::Peers;
+use spanlead_net::wire;
+use spanlead_net::workers::Tuning;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
@@ -94,13 +95,6 @@
     }
 }
 
-/// Where the other schedulers are.
-pub struct Peers {
-    pub listen: SocketAddr,
-    pub each: Vec<SocketAddr>,
-    pub all: Option<SocketAddr>,
-}
-
 /// What is wrong, and with which key.
 #[derive(Debug)]
 pub struct ConfigError {
--- a/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -1,23 +1,23 @@
 //! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
-use crate::config::{Config, Keys, Peers, Shares};
-use crate::core::{Answer, AttemptId, Core, Effect, Input, Tale};
-use crate::net::clients::{self, Arrival, Front, Line};
-use crate::net::discovery::Discovery;
-use crate::net::operator::{self, Asked};
-use crate::net::peers::PeerLink;
-use crate::net::relay::{self, Kin, Link, Passed};
-use crate::net::wire::{self, Notice, OperatorCall, OperatorReply, Parcel};
-use crate::net::workers::Pool;
+use crate::config::{Config, Keys, Shares};
 use bytes::Bytes;
-use oatdock::{ListScope, Nanos, RequestId};
+use oatdock::{ListScope, RequestId};
 use settings::{Deployment, Names, Reports};
+use spanlead_core::{Answer, AttemptId, Core, Effect, Input, Tale};
+use spanlead_net::clients::{self, Arrival, Front, Line};
+use spanlead_net::discovery::Discovery;
+use spanlead_net::operator::{self, Asked};
+use spanlead_net::peers::{PeerLink, Peers};
+use spanlead_net::relay::{self, Kin, Link, Passed};
+use spanlead_net::wire::{self, Notice, OperatorCall, OperatorReply, Parcel};
+use spanlead_net::workers::Pool;
+use spanlead_net::{Clock, Message};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -31,51 +31,6 @@
 /// How long the last connections may take to close at the end.
 const LAST_CLOSE: Duration = Duration::from_secs(1);
 
-/// The monotonic clock, counted so that its start lies at the wall clock's time of then: list entries' wall-clock
-/// times can be set against it, and it never jumps.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    wall: Nanos,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
-        Clock { start: Instant::now(), wall }
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Nanos {
-        self.wall + self.start.elapsed().as_nanos() as Nanos
-    }
-
-    /// The runtime's word for a time.
-    pub fn instant(&self, at: Nanos) -> Instant {
-        self.start + Duration::from_nanos(at.saturating_sub(self.wall))
-    }
-}
-
-/// What reaches the driver.
-pub enum Message {
-    Arrival(Arrival),
-    /// A worker's notice: its text, the link that it came over, and who waits to hear that it has arrived.
-    Notice {
-        notice: Notice,
-        body: Bytes,
-        from: Option<Link>,
-        heard: Option<oneshot::Sender<()>>,
-    },
-    Kin(Kin),
-    /// The predecessor has handed over an open request: what became of it so far, its text and its client's socket.
-    Adopted {
-        tale: Tale,
-        text: Bytes,
-        socket: OwnedFd,
-    },
-    Input(Input),
-}
-
 struct Open {
     line: Arc<Line>,
     reply: oneshot::Sender<Answer>,
--- a/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -1,8 +1,6 @@
 //! The real scheduler: `oatdock`'s decisions on sockets.
 mod config;
-mod core;
 mod driver;
-mod net;
 
 use clap::{Parser, Subcommand};
 use config::Config;
--- a/spanlead/tests/command.rs
+++ b/crates/spanlead/tests/command.rs
@@ -8,7 +8,7 @@
 #[test]
 fn version_and_check_say_what_they_know() {
     let good = config(([127, 0, 0, 1], 8500).into(), "");
-    assert_snapshot!(String::from_utf8_lossy(&run("version", "").stdout), @"spanlead 0.1.0");
+    assert_snapshot!(String::from_utf8_lossy(&run("version", "").stdout), @"spanlead 0.2.0");
     assert_snapshot!(String::from_utf8_lossy(&run("check", &good).stdout), @r"
     name       n0
     listen     127.0.0.1:0
