--- /dev/null
+++ b/crates/conf/tests/conf.rs
@@ -0,0 +1,72 @@
+//! What operators write, and what they are told.
+use insta::assert_snapshot;
+use proptest::prelude::*;
+use spanlead_conf::{Conf, Durable, Format, Level, parse};
+use std::time::Duration;
+
+fn errors(text: &str) -> String {
+    parse("spanlead.conf", text.as_bytes()).expect_err("it is faulty").to_string()
+}
+
+#[test]
+fn a_good_file_is_read_with_units_quotes_and_defaults() {
+    let text = "# ours\nlog\n\tformat json\n\tlevel debug # for a while\n\nledger\n    folder \"/var/lib/two words\"\n    \
+                lease 4s\n    keep 1min 30s\n    disk 64MiB\n    segment 256KiB\r\n    durable all\n";
+    // A span of two words is two arguments: quoted it is one.
+    let conf = parse("f", text.replace("1min 30s", "'1min 30s'").as_bytes()).expect("good");
+    assert_eq!((conf.log.format, conf.log.level), (Format::Json, Level::Debug));
+    let ledger = conf.ledger.expect("a section");
+    assert_eq!(ledger.folder.to_str(), Some("/var/lib/two words"));
+    assert_eq!((ledger.lease, ledger.keep), (Duration::from_secs(4), Duration::from_secs(90)));
+    assert_eq!((ledger.disk, ledger.segment), (64 << 20, 256 << 10));
+    assert_eq!((ledger.sync, ledger.durable, ledger.jobs), (true, Durable::All, 200_000));
+    assert_eq!(parse("f", b"").expect("an empty one"), Conf::default());
+}
+
+// Guards the one pass: an operator must not have to mend one line to be told of the next.
+#[test]
+fn all_that_is_wrong_is_told_at_once_with_its_line() {
+    let text = "  folder /x\nlog\n  format jsn\n  levle info\n  level loud\nledgr\n  folder /y\nledger here\n  sync maybe\n  \
+                lease 10\n  lease 4s\n  clock-bound 20s\n  keep 1s 2s\n  jobs many\n  jobs\n  disk 1\n  segment 3MiB 'x\n  \
+                disk 900KiB\nlog\n";
+    assert_snapshot!(errors(text), @r"
+    spanlead.conf:1: stands before any section; a section's name begins at the margin
+    spanlead.conf:3: format: `jsn` is none of text, json; `json` is near
+    spanlead.conf:4: levle: is unknown in section `log`; `level` is near
+    spanlead.conf:5: level: `loud` is none of error, warn, info, debug
+    spanlead.conf:6: ledgr: there is no such section; `ledger` is near
+    spanlead.conf:8: ledger: this section takes no name
+    spanlead.conf:8: ledger: `folder` is missing
+    spanlead.conf:9: sync: `maybe` is none of yes, no
+    spanlead.conf:10: lease: `10` is not a span with a unit, such as 250ms, 10s or 5min
+    spanlead.conf:11: lease: stands on line 10 already
+    spanlead.conf:12: clock-bound: must be shorter than the lease
+    spanlead.conf:13: keep: `2s` is one argument too many
+    spanlead.conf:14: jobs: `many` is not a whole number
+    spanlead.conf:15: jobs: stands on line 14 already
+    spanlead.conf:16: disk: `1` is not a size with a unit, such as 64KiB or 16MiB
+    spanlead.conf:17: a quote is not closed
+    spanlead.conf:18: disk: stands on line 16 already
+    spanlead.conf:19: log: the section stands on line 2 already
+    ");
+    let missing =
+        spanlead_conf::read(std::path::Path::new("/nonexistent/spanlead.conf")).expect_err("missing");
+    assert_snapshot!(missing.to_string(), @"/nonexistent/spanlead.conf: No such file or directory (os error 2)");
+    let binary = parse("f", b"log\n  format \xff\n  level\x07 info\n").expect_err("binary").to_string();
+    assert_snapshot!(binary, @r"
+    f:2: is not UTF-8 text
+    f:3: holds a control character
+    ");
+}
+
+proptest! {
+    // Guards against input nobody thought of: it is turned down in words or taken, never a panic, and each message
+    // names a line that the file has.
+    #[test]
+    fn no_text_breaks_it(text in "(log|ledger|[a-z]{0,6}|[ \t]{1,3}(folder|lease|disk|level|[a-z\"'#\\\\]{0,8}) [ -~\t\n\u{e9}]{0,20}\n){0,12}") {
+        if let Err(errors) = parse("f", text.as_bytes()) {
+            let lines = text.split('\n').count();
+            prop_assert!(errors.0.iter().all(|p| p.line >= 1 && p.line <= lines), "{errors}");
+        }
+    }
+}
