--- /dev/null
+++ b/crates/core/src/durable.rs
@@ -0,0 +1,696 @@
+//! The part of the reducer that keeps durable jobs: what is written down before what, repeats that join or are answered
+//! again, leases that end, and what comes back after a crash.
+//!
+//! The order is kept by where [`Effect::Record`] stands: what must wait for it is wrapped in [`Effect::Durably`] behind it.
+use crate::{
+    ABANDON_WAIT, Answer, Attempt, AttemptId, Core, Effect, Host, Job, MS, Offer, Reply, Stage, TAKE_WAIT,
+    Timer,
+};
+use bytes::Bytes;
+use oatdock::{
+    Effect as Repeating, Entry, Event, ListScope, Nanos, Outcome, RequestId, Tried, WorkerId, WorkerState,
+};
+use serde::Serialize;
+use settings::position;
+use spanlead_ledger::{
+    Anchor, End, Found, JobNo, Key, Ledger, Lsn, Past, Place, Record, Repeats, Taken, Token,
+};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// How long an attempt of the process before may be silent that its worker had not been heard to have taken. Longer than
+/// between two notices of a job that runs, where workers tell of progress.
+const RECOVER_WAIT: Nanos = 3_000 * MS;
+/// What clients that can't be taken down now are told to wait.
+const COME_BACK: Nanos = 1_000 * MS;
+/// Jobs written anew at a time.
+const CARRY: usize = 64;
+/// Records that must have become needless before segments are looked through.
+const TRIM_EVERY: Lsn = 256;
+/// Tickets of jobs that were recovered; those of clients count from 0.
+const RECOVERED: u64 = 1 << 63;
+
+/// A ledger that was read, and how it is kept.
+#[derive(Debug)]
+pub struct Durability {
+    pub ledger: Ledger,
+    /// How this process's clock reads.
+    pub anchor: Anchor,
+    /// Whether jobs are kept that nobody can come back for and whose repeats are harmless.
+    pub all: bool,
+    /// How long a worker may hold a job without being heard of.
+    pub lease: Nanos,
+    /// The most by which clocks drift apart, or a message waits, within a lease.
+    pub clock_bound: Nanos,
+    /// The most on disk, and the size of a segment, bytes.
+    pub disk: u64,
+    pub segment: u64,
+}
+
+/// What operators are shown of the ledger. Counts begin with the process.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct LedgerFigures {
+    /// Jobs without an end, and kept ones with one.
+    pub open: usize,
+    pub kept: usize,
+    /// What both take in memory, and the log on disk, bytes.
+    pub live_bytes: usize,
+    pub disk_bytes: u64,
+    /// Jobs that came back from the process before.
+    pub recovered: u64,
+    /// Repeats that wait for their first's answer, and that were given a kept one.
+    pub joined: u64,
+    pub replayed: u64,
+    /// Requests whose key had been used for another one.
+    pub mismatched: u64,
+    /// Leases that ended with their worker unheard, and notices that came too late.
+    pub leases_ended: u64,
+    pub fenced: u64,
+    /// Jobs turned away because the ledger is full, failed, or not open yet.
+    pub turned_away: u64,
+    /// It can't be written to any more.
+    pub failed: bool,
+    /// Group commits, the records in them, and the time that they took, microseconds.
+    pub commits: u64,
+    pub records: u64,
+    pub commit_p50_us: u64,
+    pub commit_p99_us: u64,
+    pub commit_max_us: u64,
+}
+
+pub(crate) struct Durable {
+    pub ledger: Ledger,
+    pub failed: bool,
+    /// The open request of each job.
+    pub tickets: HashMap<JobNo, RequestId>,
+    all: bool,
+    lease: Nanos,
+    clock_bound: Nanos,
+    disk: u64,
+    segment: u64,
+    trimmed: Lsn,
+    figures: LedgerFigures,
+}
+
+impl Durable {
+    pub fn figures(&self) -> LedgerFigures {
+        let now = self.ledger.figures();
+        let (open, kept, live_bytes) = (now.open, now.kept, now.live_bytes);
+        LedgerFigures { open, kept, live_bytes, failed: self.failed, ..self.figures }
+    }
+
+    /// Whether the job of this id is kept with its end.
+    pub fn has_end(&self, id: &str) -> bool {
+        self.ledger.by_id(id).is_some_and(|job| job.end().is_some())
+    }
+
+    fn full(&self) -> bool {
+        !self.ledger.has_room() || self.figures.disk_bytes >= self.disk
+    }
+}
+
+/// What a request is to the ledger.
+pub(crate) enum Known {
+    /// It is new, and goes on from these attempts of an earlier one.
+    No(Vec<Past>),
+    /// It repeats one that is open.
+    Open(RequestId),
+    /// It has its answer.
+    Over(Answer, Option<JobNo>),
+}
+
+/// An effect that waits for all records before it.
+pub(crate) fn durably(effect: Effect, until: Nanos) -> Effect {
+    Effect::Durably { effect: Box::new(effect), until }
+}
+
+/// An answer to a client. A result waits until it is written down; whatever else is said of a job claims nothing that a
+/// crash could make untrue.
+pub(crate) fn as_recorded(ticket: RequestId, answer: Answer, job: Option<JobNo>, due: Nanos) -> Effect {
+    let waits = job.is_some() && matches!(answer, Answer::Served(_));
+    let effect = Effect::Answer { ticket, answer, job };
+    if waits { durably(effect, due) } else { effect }
+}
+
+fn end_of(answer: &Answer) -> End {
+    match answer {
+        Answer::Served(result) => End::Served(Arc::from(result.as_str())),
+        Answer::Refused { .. } => End::Refused,
+        Answer::Unusable => End::Unusable,
+        Answer::Failed | Answer::Duplicate | Answer::Mismatch => End::Failed,
+    }
+}
+
+fn answer_of(end: &End) -> Answer {
+    match end {
+        End::Served(result) => Answer::Served(result.to_string()),
+        End::Refused => Answer::Refused { retry_after: Some(COME_BACK) },
+        End::Failed => Answer::Failed,
+        End::Unusable => Answer::Unusable,
+    }
+}
+
+impl Core {
+    /// The number of the last record, if there is a ledger.
+    pub(crate) fn recorded(&self) -> Lsn {
+        self.durable.as_ref().map_or(0, |d| d.ledger.last())
+    }
+
+    /// The one place where a record is made: it changes the ledger and goes to the store.
+    pub(crate) fn record(&mut self, record: Record, out: &mut Vec<Effect>) {
+        let Some(d) = &mut self.durable else { return };
+        match d.ledger.apply(&record) {
+            Ok(()) if d.failed => {}
+            Ok(()) => out.push(Effect::Record(record)),
+            Err(illegal) => {
+                debug_assert!(false, "{illegal}");
+                out.push(Effect::Log(format!("the ledger turned a record down: {illegal}")));
+            }
+        }
+    }
+
+    // ------------------------------------------------------------ requests
+
+    fn keeps(&self, job: &Job) -> bool {
+        let all = self.durable.as_ref().is_some_and(|d| d.all);
+        let never = self.effects.get(job.class as usize) == Some(&Repeating::Unsafe);
+        job.mark.as_ref().is_some_and(|mark| all || never || mark.key.is_some())
+    }
+
+    fn key(&self, job: &Job) -> Option<Key> {
+        let key = job.mark.as_ref()?.key.clone()?;
+        let name = |names: &[String], i: u32| Arc::from(names.get(i as usize).map_or("", String::as_str));
+        Some(Key {
+            owner: name(&self.names.tenants, job.tenant),
+            class: name(&self.names.classes, job.class),
+            key,
+        })
+    }
+
+    /// Gives a client of the process before its place again. Its request is open here since the ledger was read, or has had
+    /// its end since; it is not taken anew.
+    pub(crate) fn take_over(&mut self, now: Nanos, ticket: RequestId, job: Job, out: &mut Vec<Effect>) {
+        let here = self.durable.as_ref().and_then(|d| d.tickets.get(&d.ledger.by_id(&job.id)?.taken.job));
+        if let Some(first) = here.copied() {
+            return self.join(ticket, first, job, out);
+        }
+        match self.recognise(now, &job) {
+            Known::Open(first) => self.join(ticket, first, job, out),
+            Known::Over(answer, no) => {
+                self.count(job.class, &answer);
+                out.push(durably(Effect::Answer { ticket, answer, job: no }, job.due));
+            }
+            Known::No(_) => {
+                self.count(job.class, &Answer::Failed);
+                out.push(Effect::Answer { ticket, answer: Answer::Failed, job: None });
+            }
+        }
+    }
+
+    /// What the ledger knows of a request.
+    pub(crate) fn recognise(&mut self, now: Nanos, job: &Job) -> Known {
+        let key = self.key(job);
+        let Some(d) = &mut self.durable else { return Known::No(Vec::new()) };
+        d.ledger.expire(now);
+        let (Some(key), Some(mark)) = (key, &job.mark) else { return Known::No(Vec::new()) };
+        match d.ledger.find(&key, &mark.fingerprint) {
+            Found::New => Known::No(Vec::new()),
+            Found::Unsettled(before) => Known::No(before),
+            Found::Mismatch => {
+                d.figures.mismatched += 1;
+                Known::Over(Answer::Mismatch, None)
+            }
+            Found::Over(no, end) => {
+                d.figures.replayed += 1;
+                Known::Over(answer_of(&end), Some(no))
+            }
+            Found::Running(no) => match d.tickets.get(&no) {
+                Some(first) => Known::Open(*first),
+                // It is on its way to another process.
+                None => Known::Over(Answer::Refused { retry_after: Some(COME_BACK) }, None),
+            },
+        }
+    }
+
+    /// Why the ledger can't take a job that belongs there.
+    pub(crate) fn turned_down(&mut self, job: &Job) -> Option<Answer> {
+        if !self.wants_ledger || !self.keeps(job) {
+            return None;
+        }
+        let ready = self.durable.as_ref().is_some_and(|d| !d.failed && !d.full());
+        if ready {
+            return None;
+        }
+        if let Some(d) = &mut self.durable {
+            d.figures.turned_away += 1;
+        }
+        Some(Answer::Refused { retry_after: Some(COME_BACK) })
+    }
+
+    /// Writes a new job down, if it belongs in the ledger.
+    pub(crate) fn take_down(
+        &mut self,
+        now: Nanos,
+        job: &Job,
+        before: Vec<Past>,
+        out: &mut Vec<Effect>,
+    ) -> Option<JobNo> {
+        if !self.keeps(job) {
+            return None;
+        }
+        let (class, owner) = match self.key(job) {
+            Some(key) => (key.class, key.owner),
+            None => {
+                let name =
+                    |names: &[String], i: u32| Arc::from(names.get(i as usize).map_or("", String::as_str));
+                (name(&self.names.classes, job.class), name(&self.names.tenants, job.tenant))
+            }
+        };
+        let repeats = match self.effects.get(job.class as usize)? {
+            Repeating::Safe => Repeats::Harmless,
+            Repeating::Keyed { ttl, .. } => Repeats::Dropped(*ttl),
+            Repeating::Unsafe => Repeats::Never,
+        };
+        let (no, mark) = (self.durable.as_ref()?.ledger.next_job(), job.mark.as_ref()?);
+        let taken = Taken {
+            job: no,
+            id: job.id.clone(),
+            key: mark.key.clone(),
+            class,
+            owner,
+            fingerprint: mark.fingerprint,
+            repeats,
+            at: now,
+            due: job.due,
+            slots: job.slots,
+            memory: job.memory,
+            subject: job.key,
+            text: mark.text.clone(),
+            before,
+        };
+        self.record(Record::Taken(taken), out);
+        Some(no)
+    }
+
+    /// Lets a client wait for the answer to another's request, until its own time is up.
+    pub(crate) fn join(&mut self, ticket: RequestId, first: RequestId, job: Job, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&first).filter(|r| !r.answered) else {
+            // Its end waits only for a worker to know of it.
+            self.count(job.class, &Answer::Failed);
+            return out.push(Effect::Answer { ticket, answer: Answer::Failed, job: None });
+        };
+        request.joined.push((ticket, job.id));
+        self.joined.insert(ticket, first);
+        self.pending += 1;
+        if let Some(d) = &mut self.durable {
+            d.figures.joined += 1;
+        }
+        self.set_timer(job.due.saturating_sub(2 * self.tick), Timer::JoinedOverdue(ticket));
+    }
+
+    fn part(&mut self, ticket: RequestId) -> Option<u32> {
+        let first = self.joined.remove(&ticket)?;
+        let request = self.requests.get_mut(&first)?;
+        request.joined.retain(|(t, _)| *t != ticket);
+        let class = request.class;
+        self.pending -= 1;
+        self.count(class, &Answer::Failed);
+        Some(class)
+    }
+
+    /// The time of a client that waits for another's request is up; that goes on.
+    pub(crate) fn joined_overdue(&mut self, ticket: RequestId, out: &mut Vec<Effect>) {
+        if self.part(ticket).is_some() {
+            out.push(Effect::Answer { ticket, answer: Answer::Failed, job: None });
+        }
+    }
+
+    /// Whether the request goes on although this client has left: others wait for it, or it may come back by its key.
+    pub(crate) fn stays(&mut self, ticket: RequestId) -> bool {
+        if self.part(ticket).is_some() {
+            return true;
+        }
+        let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return false };
+        let job = request.durable.and_then(|no| self.durable.as_ref()?.ledger.job(no));
+        let stays = !request.joined.is_empty() || job.is_some_and(|job| job.taken.key.is_some());
+        if stays && request.first {
+            request.first = false;
+            let class = request.class;
+            self.pending -= 1;
+            self.count(class, &Answer::Failed);
+        }
+        stays
+    }
+
+    /// Writes a job's end down.
+    pub(crate) fn record_end(
+        &mut self,
+        now: Nanos,
+        durable: Option<JobNo>,
+        answer: &Answer,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(job) = durable {
+            self.record(Record::Ended { job, at: now, end: end_of(answer) }, out);
+        }
+    }
+
+    /// The request as it goes to a worker.
+    pub(crate) fn text(&self, no: JobNo) -> Option<Bytes> {
+        Some(self.durable.as_ref()?.ledger.job(no)?.taken.text.clone())
+    }
+
+    // ------------------------------------------------------------ leases
+
+    /// Writes down that an attempt is about to go out, and makes its lease.
+    pub(crate) fn lease(
+        &mut self,
+        now: Nanos,
+        job: JobNo,
+        attempt: AttemptId,
+        out: &mut Vec<Effect>,
+    ) -> Option<Offer> {
+        let d = self.durable.as_ref()?;
+        let (token, length) = (d.ledger.next_token(), d.lease);
+        let this = self.requests.get_mut(&attempt.0)?.attempts.get_mut(attempt.1 as usize)?;
+        this.token = Some(token);
+        let host = self.workers.get(&this.worker)?;
+        let zone = self.names.zones.get(host.zone as usize).map_or("", String::as_str);
+        let place =
+            Place { worker: this.worker.clone(), addr: this.addr, zone: Arc::from(zone), cell: host.cell };
+        // Its worker counts from when it came there, which is before we hear that it has.
+        let until = now + TAKE_WAIT + length;
+        self.record(Record::Leased { job, token, place, sent: now, until }, out);
+        Some(Offer { token: token.0, length })
+    }
+
+    fn leased(&self, attempt: AttemptId) -> Option<(JobNo, Token)> {
+        let request = self.requests.get(&attempt.0)?;
+        Some((request.durable?, request.attempts.get(attempt.1 as usize)?.token?))
+    }
+
+    /// The worker has the job; `aware` tells whether it goes by the lease.
+    pub(crate) fn held(&mut self, attempt: AttemptId, aware: bool, out: &mut Vec<Effect>) {
+        let Some((job, token)) = self.leased(attempt) else { return };
+        self.record(Record::Held { job, token, aware }, out);
+        if aware {
+            self.watch_lease(attempt);
+        }
+    }
+
+    /// Watches for the end of a lease that its worker goes by.
+    fn watch_lease(&mut self, attempt: AttemptId) {
+        let Some((job, _)) = self.leased(attempt) else { return };
+        let Some(d) = &self.durable else { return };
+        let Some(until) = d.ledger.job(job).and_then(|j| j.lease()).map(|l| l.until) else { return };
+        let ends = until + d.clock_bound;
+        let this = self.requests.get_mut(&attempt.0).and_then(|r| r.attempts.get_mut(attempt.1 as usize));
+        let Some(this) = this else { return };
+        let watched = this.leased.replace(until);
+        if watched.is_none() {
+            self.set_timer(ends, Timer::LeaseEnds(attempt));
+        }
+    }
+
+    /// A worker that goes by its lease was heard: for how long it may go on from when it sent this. Not each notice moves
+    /// the lease's end: what is told need only be written down when it has moved by a quarter.
+    pub(crate) fn renew(
+        &mut self,
+        now: Nanos,
+        attempt: AttemptId,
+        token: Option<u64>,
+        out: &mut Vec<Effect>,
+    ) -> Option<Nanos> {
+        token?;
+        let (job, token) = self.leased(attempt)?;
+        let d = self.durable.as_ref()?;
+        let length = d.lease;
+        let lease = d.ledger.job(job)?.lease()?;
+        let (told, aware) = (lease.until, lease.aware);
+        if !aware || now + length > told + length / 4 {
+            self.record(Record::Renewed { job, token, until: now + length }, out);
+        }
+        self.watch_lease(attempt);
+        let until = self.durable.as_ref()?.ledger.job(job)?.lease()?.until;
+        // Never beyond what is written down, nor what a lease is long.
+        Some(until.saturating_sub(now).min(length))
+    }
+
+    /// The worker has begun to run the job.
+    pub(crate) fn started(&mut self, attempt: AttemptId, out: &mut Vec<Effect>) {
+        let Some((job, token)) = self.leased(attempt) else { return };
+        let stage = self.durable.as_ref().and_then(|d| d.ledger.job(job)).map(|j| j.state());
+        if stage == Some("leased") {
+            self.record(Record::Started { job, token }, out);
+        }
+    }
+
+    /// The attempt is over; if the job is too, its end said so.
+    pub(crate) fn released(
+        &mut self,
+        durable: Option<JobNo>,
+        token: Option<Token>,
+        ran: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let (Some(job), Some(token)) = (durable, token) else { return };
+        let lease = self.durable.as_ref().and_then(|d| d.ledger.job(job)?.lease());
+        if lease.is_some_and(|l| l.token == token) {
+            self.record(Record::Released { job, token, ran }, out);
+        }
+    }
+
+    /// A lease may be over: its worker was not heard for so long that it has stopped by its own clock. What follows is
+    /// the module's to decide, by the job's class.
+    pub(crate) fn lease_ends(&mut self, now: Nanos, attempt: AttemptId, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&attempt.0) else { return };
+        let Some(this) = request.attempts.get_mut(attempt.1 as usize) else { return };
+        let (Some(until), Some(d)) = (this.leased, &mut self.durable) else { return };
+        if matches!(this.stage, Stage::Over) {
+            return;
+        }
+        let ends = until + d.clock_bound;
+        if now < ends {
+            return self.set_timer(ends, Timer::LeaseEnds(attempt));
+        }
+        d.figures.leases_ended += 1;
+        let (addr, id) = (this.addr, request.id.clone());
+        // Should it be there all the same, it need not finish; nothing waits for its word.
+        out.push(Effect::Abandon { attempt, addr, id, taken: true, until: now + ABANDON_WAIT });
+        self.end(now, attempt, Outcome::Timeout, None, out);
+    }
+
+    /// A notice that fits no attempt that is out. A worker that goes by its lease is told that this is over.
+    pub(crate) fn stale(&mut self, id: &str, token: Option<u64>) -> Reply {
+        let heard = Reply::Heard { lease: None };
+        let (Some(token), Some(d)) = (token, &mut self.durable) else { return heard };
+        // It repeats the notice that ended the job.
+        let last = d.ledger.by_id(id).filter(|job| matches!(job.end(), Some((_, End::Served(_)))));
+        if last.and_then(|job| job.past.last()).is_some_and(|past| past.token.0 == token) {
+            return heard;
+        }
+        d.figures.fenced += 1;
+        Reply::Fenced
+    }
+
+    // ------------------------------------------------------------ the store
+
+    /// Forgets what has expired; what that frees on disk is looked for even if nothing more is written.
+    pub(crate) fn expire(&mut self, now: Nanos, out: &mut Vec<Effect>) {
+        let Some(d) = &mut self.durable else { return };
+        if d.ledger.expire(now) > 0 {
+            let bytes = d.figures.disk_bytes;
+            self.stored(bytes, out);
+        }
+    }
+
+    pub(crate) fn stored(&mut self, bytes: u64, out: &mut Vec<Effect>) {
+        let Some(d) = &mut self.durable else { return };
+        d.figures.disk_bytes = bytes;
+        // What a few old jobs keep from going is written anew when it is more than what lives. `live` is reckoned high, so
+        // that comes to an end.
+        let live = d.ledger.figures().live_bytes as u64;
+        if bytes > 2 * (live + d.segment) {
+            for record in d.ledger.carry(CARRY) {
+                self.record(record, out);
+            }
+        }
+        let Some(d) = &mut self.durable else { return };
+        let oldest = d.ledger.oldest();
+        if oldest >= d.trimmed + TRIM_EVERY {
+            d.trimmed = oldest;
+            out.push(Effect::Trim { oldest });
+        }
+    }
+
+    pub(crate) fn store_failed(&mut self, out: &mut Vec<Effect>) {
+        let Some(d) = self.durable.as_mut().filter(|d| !d.failed) else { return };
+        d.failed = true;
+        let open = d.ledger.figures().open;
+        out.push(Effect::Log(format!(
+            "the ledger can't be written to any more: new durable jobs are refused, {open} open ones end; restart when the \
+             disk is mended"
+        )));
+    }
+
+    // ------------------------------------------------------------ recovery
+
+    /// Goes on with all that the ledger holds open.
+    pub(crate) fn opened(&mut self, now: Nanos, durability: Durability, out: &mut Vec<Effect>) {
+        let Durability { ledger, anchor, all, lease, clock_bound, disk, segment } = durability;
+        let session = ledger.session(anchor);
+        self.durable = Some(Durable {
+            ledger,
+            failed: false,
+            tickets: HashMap::new(),
+            all,
+            lease,
+            clock_bound,
+            disk,
+            segment,
+            trimmed: 0,
+            figures: LedgerFigures::default(),
+        });
+        self.record(session, out);
+        let Some(d) = &mut self.durable else { return };
+        d.ledger.expire(now);
+        let open = d.ledger.open();
+        for no in open {
+            self.recover(now, no, out);
+        }
+    }
+
+    fn recover(&mut self, now: Nanos, no: JobNo, out: &mut Vec<Effect>) {
+        let Some(d) = &mut self.durable else { return };
+        let Some(job) = d.ledger.job(no).cloned() else { return };
+        d.figures.recovered += 1;
+        let (taken, lease) = (&job.taken, job.lease());
+        let class = self.names.class(&taken.class);
+        let tenant = match self.names.tenants.is_empty() {
+            true => Some(0),
+            false => position(&self.names.tenants, &taken.owner),
+        };
+        let (Some(class), Some(tenant), true) = (class, tenant, now < taken.due) else {
+            // Its client has given up, or nothing is known any more of how to go on.
+            if let Some(lease) = lease {
+                let attempt = AttemptId(RequestId(RECOVERED | no.0), 0);
+                let (addr, id, until) = (lease.place.addr, taken.id.clone(), now + ABANDON_WAIT);
+                out.push(Effect::Abandon { attempt, addr, id, taken: true, until });
+            }
+            return self.record_end(now, Some(no), &Answer::Failed, out);
+        };
+        let this = Job {
+            id: taken.id.clone(),
+            class,
+            tenant,
+            slots: taken.slots,
+            memory: taken.memory,
+            key: taken.subject,
+            due: taken.due,
+            mark: None,
+        };
+        let mut past: Vec<Past> = taken.before.iter().chain(&job.past).cloned().collect();
+        let out_there = lease.map(|l| (l.held, l.aware));
+        past.extend(lease.map(|l| Past { place: l.place.clone(), sent: l.sent, ran: true, token: l.token }));
+        let ticket = RequestId(RECOVERED | no.0);
+        self.resume(now, ticket, this, Some(no), past, out_there, out);
+    }
+
+    /// Goes on with a new request of a key from the attempts that an earlier one left unsettled.
+    pub(crate) fn go_on(
+        &mut self,
+        now: Nanos,
+        ticket: RequestId,
+        job: Job,
+        durable: Option<JobNo>,
+        before: Vec<Past>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.resume(now, ticket, job, durable, before, None, out);
+    }
+
+    /// Opens a request with attempts of before, the last of them out if `out_there`, which tells whether its worker has
+    /// the job for certain and goes by its lease.
+    #[allow(clippy::too_many_arguments, reason = "what is known of a request")]
+    fn resume(
+        &mut self,
+        now: Nanos,
+        ticket: RequestId,
+        job: Job,
+        durable: Option<JobNo>,
+        past: Vec<Past>,
+        out_there: Option<(bool, bool)>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.introduce(now, &past, out);
+        let last = past.len().checked_sub(1);
+        let attempt = |(i, p): (usize, &Past)| {
+            let stage = match out_there.filter(|_| Some(i) == last) {
+                None => Stage::Over,
+                Some((true, _)) => Stage::Taken,
+                Some((false, _)) => Stage::Offered,
+            };
+            let (worker, addr, token) = (p.place.worker.clone(), p.place.addr, Some(p.token));
+            Attempt { worker, addr, sent: p.sent, stage, may_have_run: p.ran, token, leased: None }
+        };
+        let attempts = past.iter().enumerate().map(attempt).collect();
+        let (class, due) = (job.class, job.due);
+        let request = self.admit(now, ticket, &job, attempts, durable, ticket.0 & RECOVERED == 0);
+        // A class that must never run twice can't go on from an attempt that may have run; the module decides that where an
+        // attempt ends, so it is told that the last one does so now.
+        let never = self.effects.get(class as usize) == Some(&Repeating::Unsafe);
+        let exposed = past.iter().rposition(|p| p.ran).filter(|_| never && out_there.is_none());
+        let tries: Vec<Tried> = past
+            .iter()
+            .enumerate()
+            .map(|(i, p)| {
+                let open = Some(i) == exposed || Some(i) == last && out_there.is_some();
+                let may_have_run = if open { None } else { Some(p.ran) };
+                Tried { worker: WorkerId(p.place.worker.clone()), sent: p.sent, may_have_run }
+            })
+            .collect();
+        if let (Some(last), Some((held, aware))) = (last, out_there) {
+            let attempt = AttemptId(ticket, last as u32);
+            self.set_timer(due, Timer::AttemptEnds(attempt));
+            if aware {
+                self.watch_lease(attempt);
+            }
+            if !held {
+                self.set_timer(due.min(now + RECOVER_WAIT), Timer::Untaken(attempt));
+            }
+        }
+        match tries.is_empty() {
+            true => self.decide(now, Event::Request(request), out),
+            false => self.decide(now, Event::Adopted { request, tries: &tries }, out),
+        }
+        if let Some(number) = exposed {
+            let (id, attempt, outcome) = (ticket, number as u32, Outcome::Cancelled);
+            self.decide(now, Event::Ended { id, attempt, outcome, closed: false, lag: 0, report: None }, out);
+        }
+    }
+
+    /// Tells the module of workers that the list does not name (any more), as gone: it must know where an attempt was to
+    /// know where the next one may go.
+    fn introduce(&mut self, now: Nanos, past: &[Past], out: &mut Vec<Effect>) {
+        for Past { place, .. } in past {
+            if self.workers.contains_key(&place.worker) {
+                continue;
+            }
+            let host = Host {
+                name: place.worker.clone(),
+                addr: place.addr,
+                state: WorkerState::Gone,
+                started: None,
+                kind: 0,
+                // A zone that is not there any more is no other worker's.
+                zone: position(&self.names.zones, &place.zone).unwrap_or(u32::MAX),
+                cell: place.cell,
+                weight: 1.0,
+            };
+            let entry =
+                Entry { cell: host.cell, zone: host.zone, ..Entry::new(&host.name, WorkerState::Gone) };
+            self.decide(now, Event::Members { scope: ListScope::Changes, entries: &[entry] }, out);
+            self.workers.insert(host.name.clone(), host);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,11 +2,18 @@
 //! attempts and the timers, knows no socket and no protocol, and is told the time. What is to be read or written it
 //! asks for as [`Effect`]s.
 #![allow(missing_docs, reason = "fields and variants that say what they are need no second saying")]
+mod durable;
+
+use bytes::Bytes;
+pub use durable::{Durability, LedgerFigures};
+use durable::{Durable, Known};
 use oatdock::{
     Action, Dispatcher, Entry, Event, ListScope, Nanos, Note, Outcome, Report, RequestId, Settings,
     SettingsError, Tried, WorkerId, WorkerState,
 };
 use serde::{Deserialize, Serialize};
+use settings::Names;
+use spanlead_ledger::{JobNo, Record, Token};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +26,8 @@
 const ABANDON_WAIT: Nanos = 1_000 * MS;
 /// How long a worker may take to say that it has a job: it answers at once, so one that doesn't by then has lost it.
 const TAKE_WAIT: Nanos = 1_000 * MS;
+/// How long a worker's notice may wait for its record: its call is given up then, and it comes again.
+const ACKNOWLEDGE_WAIT: Nanos = 1_000 * MS;
 /// How long a probe may take.
 const PROBE_WAIT: Nanos = 500 * MS;
 
@@ -32,6 +41,19 @@
     pub memory: f64,
     pub key: Option<u64>,
     pub due: Nanos,
+    /// What the ledger needs of it, where there is one.
+    pub mark: Option<Mark>,
+}
+
+/// What makes a request known again, and lets another process send it.
+#[derive(Clone, Debug)]
+pub struct Mark {
+    /// Its `Idempotency-Key`.
+    pub key: Option<Arc<str>>,
+    /// A digest of what is asked for.
+    pub fingerprint: [u8; 16],
+    /// The request as it goes to a worker.
+    pub text: Bytes,
 }
 
 /// What another process must know of an open request to go on with it.
@@ -40,6 +62,9 @@
     pub id: Arc<str>,
     pub due: Nanos,
     pub tries: Vec<Chapter>,
+    /// The ledger holds it, and says what became of it.
+    #[serde(default)]
+    pub durable: bool,
 }
 
 /// An attempt in such a tale; `ran` tells whether it may have run, once it is over.
@@ -70,8 +95,8 @@
 /// How the exchange that hands an attempt to its worker ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Handover {
-    /// The worker has the job and will tell what becomes of it.
-    Taken,
+    /// The worker has the job and will tell what becomes of it; whether it has understood its lease.
+    Taken { aware: bool },
     /// The worker can't use the request, nor could another.
     Unusable,
     /// The attempt is over.
@@ -97,6 +122,8 @@
         job: Job,
         /// What another process of this scheduler did for it before.
         tries: Option<Vec<Chapter>>,
+        /// It was handed over, and the ledger holds it.
+        durable: bool,
     },
     ClientLeft {
         ticket: RequestId,
@@ -105,9 +132,13 @@
         attempt: AttemptId,
         how: Handover,
     },
+    /// A worker's notice, which is owed an [`Effect::Acknowledge`].
     News {
+        note: u64,
         id: String,
         from: String,
+        /// The fencing token, from a worker that knows leases.
+        token: Option<u64>,
         news: News,
         report: Option<Report>,
     },
@@ -125,6 +156,7 @@
     Reloaded {
         discovery: SocketAddr,
         settings: Option<(Box<Settings>, Vec<Option<u32>>)>,
+        names: Arc<Names>,
     },
     Probed {
         worker: Arc<str>,
@@ -157,10 +189,40 @@
     Written,
     /// The configuration's file could not be used.
     Unreadable,
+    /// The ledger was read: what it holds is open here from now on.
+    Opened(Box<Durability>),
+    /// The ledger's records are durable so far, and it has this size on disk, bytes.
+    Stored {
+        bytes: u64,
+    },
+    /// The ledger can't be written to any more.
+    StoreFailed,
+    /// The ledger is another process's from now on.
+    Released,
+    /// A client was handed this job's answer.
+    Answered {
+        job: JobNo,
+    },
+}
+
+/// What a worker's notice is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It has been heard; the worker may believe in its lease for so long from when it sent this.
+    Heard { lease: Option<Nanos> },
+    /// Its lease is over: it must stop, and its result is not wanted.
+    Fenced,
+}
+
+/// A lease as a worker is told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    pub token: u64,
+    pub length: Nanos,
 }
 
 /// A request's one final answer.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Served(String),
     Refused {
@@ -171,6 +233,8 @@
     Unusable,
     /// The id is that of a request still open.
     Duplicate,
+    /// Its key was used for another request.
+    Mismatch,
 }
 
 /// How a class's requests ended.
@@ -197,6 +261,9 @@
     /// Configuration files taken, and turned down, at SIGHUP.
     pub config_reloads: u64,
     pub config_reload_errors: u64,
+    /// The ledger, where there is one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ledger: Option<LedgerFigures>,
 }
 
 /// What the reducer wants done.
@@ -210,11 +277,31 @@
     Answer {
         ticket: RequestId,
         answer: Answer,
+        /// The durable job whose answer it is, if that should know.
+        job: Option<JobNo>,
     },
     Send {
         attempt: AttemptId,
         addr: SocketAddr,
         until: Nanos,
+        lease: Option<Offer>,
+        /// The request, where no client's is at hand.
+        text: Option<Bytes>,
+    },
+    /// Writes this down.
+    Record(Record),
+    /// Does this when all that was written down so far is durable. If that takes until `until`, it is too late for it.
+    Durably {
+        effect: Box<Effect>,
+        until: Nanos,
+    },
+    Acknowledge {
+        note: u64,
+        reply: Reply,
+    },
+    /// The ledger's records before this one are not needed.
+    Trim {
+        oldest: u64,
     },
     Abandon {
         attempt: AttemptId,
@@ -263,6 +350,10 @@
     stage: Stage,
     /// Known once it is over.
     may_have_run: bool,
+    /// Its lease, if the job is durable.
+    token: Option<Token>,
+    /// The worker goes by the lease, and may believe in it until then at the latest.
+    leased: Option<Nanos>,
 }
 
 struct Request {
@@ -271,6 +362,12 @@
     due: Nanos,
     answered: bool,
     attempts: Vec<Attempt>,
+    /// Its number in the ledger.
+    durable: Option<JobNo>,
+    /// The client that brought it still waits.
+    first: bool,
+    /// Clients whose repeats of it wait too, and the ids of these.
+    joined: Vec<(RequestId, Arc<str>)>,
 }
 
 enum Timer {
@@ -279,6 +376,10 @@
     /// The worker should have said by now that it has the job.
     Untaken(AttemptId),
     Overdue(RequestId),
+    /// The time of a client that waits for another's job is up.
+    JoinedOverdue(RequestId),
+    /// A worker's lease may be over.
+    LeaseEnds(AttemptId),
 }
 
 /// The scheduler's whole state.
@@ -290,6 +391,14 @@
     /// The serial of each open request by the id that the clients and workers know.
     by_id: HashMap<Arc<str>, RequestId>,
     workers: HashMap<Arc<str>, Host>,
+    names: Arc<Names>,
+    /// What repeats of each class do, by its number.
+    effects: Vec<oatdock::Effect>,
+    /// The ledger is wanted; and what there is of it, while it is open here.
+    wants_ledger: bool,
+    durable: Option<Durable>,
+    /// The request that a joined client waits for.
+    joined: HashMap<RequestId, RequestId>,
     /// Where discovery is, the version of its list that is held, and whether its news was asked for.
     discovery: SocketAddr,
     version: u64,
@@ -310,14 +419,21 @@
 }
 
 impl Core {
-    /// A scheduler that knows no workers yet and holds at most `max_open` requests.
+    /// A scheduler that knows no workers yet and holds at most `max_open` requests. With `wants_ledger` nothing that
+    /// belongs there is taken before [`Input::Opened`].
+    ///
+    /// # Errors
+    /// If the module turns the settings down.
     pub fn new(
         settings: Settings,
+        names: Arc<Names>,
         seed: u64,
         max_open: usize,
         discovery: SocketAddr,
+        wants_ledger: bool,
     ) -> Result<Self, SettingsError> {
         let (tick, classes) = (settings.tick, settings.classes.len());
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
         Ok(Core {
             dispatcher: Dispatcher::new(settings, seed)?,
             tick,
@@ -325,6 +441,11 @@
             requests: HashMap::new(),
             by_id: HashMap::new(),
             workers: HashMap::new(),
+            names,
+            effects,
+            wants_ledger,
+            durable: None,
+            joined: HashMap::new(),
             discovery,
             version: 0,
             watching: false,
@@ -343,7 +464,8 @@
 
     /// Whether this process can serve.
     pub fn serves(&self) -> bool {
-        self.stopping.is_none() && self.workers.values().any(|w| w.state == WorkerState::Ready)
+        let durable = !self.wants_ledger || self.durable.as_ref().is_some_and(|d| !d.failed);
+        self.stopping.is_none() && durable && self.workers.values().any(|w| w.state == WorkerState::Ready)
     }
 
     /// Whether new requests should come here.
@@ -380,6 +502,7 @@
             members_unavailable: members().filter(avoided).count(),
             config_reloads: self.reloads,
             config_reload_errors: self.reload_errors,
+            ledger: self.durable.as_ref().map(Durable::figures),
         }
     }
 
@@ -399,24 +522,41 @@
         self.stopping.is_some_and(|t| now >= t + TURN_AWAY)
     }
 
-    /// Whether this request is open here.
+    /// Whether this request is open here, or kept with its end.
     pub fn knows(&self, id: &str) -> bool {
-        self.by_id.contains_key(id)
+        self.by_id.contains_key(id) || self.durable.as_ref().is_some_and(|d| d.has_end(id))
+    }
+
+    /// How many open requests the ledger holds.
+    pub fn durable_open(&self) -> usize {
+        self.requests.values().filter(|r| r.durable.is_some()).count()
     }
 
     /// When [`Input::Tick`] is next wanted.
     pub fn next_timer(&self, now: Nanos) -> Option<Nanos> {
         let stop = self.stopping.map(|t| t + TURN_AWAY).filter(|t| *t > now && self.requests.is_empty());
-        self.timers.first_key_value().map(|((at, _), _)| *at).into_iter().chain(stop).min()
+        let expiry = self.durable.as_ref().and_then(|d| d.ledger.next_expiry());
+        self.timers.first_key_value().map(|((at, _), _)| *at).into_iter().chain(stop).chain(expiry).min()
     }
 
     /// Takes one input at time `now` and appends what is to be done.
     pub fn step(&mut self, now: Nanos, input: Input, out: &mut Vec<Effect>) {
         match input {
-            Input::Request { ticket, job, tries } => self.request(now, ticket, job, tries, out),
+            Input::Request { ticket, job, tries, durable: false } => {
+                self.request(now, ticket, job, tries, out);
+            }
+            Input::Request { ticket, job, .. } => self.take_over(now, ticket, job, out),
             Input::ClientLeft { ticket } => self.client_left(now, ticket, out),
             Input::Handover { attempt, how } => self.handover(now, attempt, how, out),
-            Input::News { id, from, news, report } => self.news(now, &id, &from, news, report, out),
+            Input::News { note, id, from, token, news, report } => {
+                let before = self.recorded();
+                let last = !matches!(news, News::Running(_));
+                let reply = self.news(now, &id, &from, token, news, report, out);
+                let effect = Effect::Acknowledge { note, reply };
+                // A repeat may come before what its first has changed is durable.
+                let durably = self.recorded() > before || last && self.durable.is_some();
+                out.push(if durably { durable::durably(effect, now + ACKNOWLEDGE_WAIT) } else { effect });
+            }
             Input::Abandoned { attempt } => {
                 if let Some(Stage::Leaving(outcome)) = self.stage(attempt) {
                     self.end(now, attempt, outcome, None, out);
@@ -426,10 +566,12 @@
                 self.version = version;
                 self.list(now, scope, hosts, out);
             }
-            Input::Reloaded { discovery, settings } => {
+            Input::Reloaded { discovery, settings, names } => {
                 self.reloads += 1;
+                self.names = names;
                 if let Some((settings, like)) = settings {
                     self.tick = settings.tick;
+                    self.effects.extend(settings.classes.iter().map(|c| c.effect));
                     self.ends.resize(self.ends.len() + settings.classes.len(), Ends::default());
                     self.decide(now, Event::Retuned { settings, like }, out);
                 }
@@ -449,6 +591,11 @@
             Input::HandOver => self.hand_over(now, out),
             Input::Written => self.written += 1,
             Input::Unreadable => self.reload_errors += 1,
+            Input::Opened(durability) => self.opened(now, *durability, out),
+            Input::Stored { bytes } => self.stored(bytes, out),
+            Input::StoreFailed => self.store_failed(out),
+            Input::Released => self.durable = None,
+            Input::Answered { job } => self.record(Record::Answered { job }, out),
         }
     }
 
@@ -463,8 +610,8 @@
     fn act(&mut self, now: Nanos, action: Action, out: &mut Vec<Effect>) {
         match action {
             Action::Send { id, worker, timeout } => self.send(now, id, &worker, timeout, out),
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused { retry_after }, out),
-            Action::Fail { id } => self.answer(id, Answer::Failed, out),
+            Action::Refuse { id, retry_after } => self.answer(now, id, Answer::Refused { retry_after }, out),
+            Action::Fail { id } => self.answer(now, id, Answer::Failed, out),
             Action::Cancel { id, attempt } => {
                 self.abandon(now, AttemptId(id, attempt), Outcome::Cancelled, out);
             }
@@ -501,33 +648,91 @@
         tries: Option<Vec<Chapter>>,
         out: &mut Vec<Effect>,
     ) {
+        let known = self.recognise(now, &job);
+        let before = match known {
+            Known::No(before) => before,
+            Known::Open(first) => return self.join(ticket, first, job, out),
+            Known::Over(answer, no) => {
+                self.count(job.class, &answer);
+                let effect = Effect::Answer { ticket, answer, job: no };
+                return out.push(durable::durably(effect, job.due));
+            }
+        };
         // Two open requests under one id could be told apart by no worker, and would be two attempts of one.
         let full = tries.is_none() && (!self.taking(now) || self.requests.len() >= self.max_open);
         let at_once = match self.by_id.contains_key(&job.id) {
             true => Some(Answer::Duplicate),
-            false => full.then_some(Answer::Refused { retry_after: Some(300 * MS) }),
+            false if full => Some(Answer::Refused { retry_after: Some(300 * MS) }),
+            false => self.turned_down(&job),
         };
         if let Some(answer) = at_once {
             self.count(job.class, &answer);
-            return out.push(Effect::Answer { ticket, answer });
+            return out.push(Effect::Answer { ticket, answer, job: None });
+        }
+        // One that a process without a ledger hands over goes on as it began.
+        let durable = match tries.as_ref().is_none_or(Vec::is_empty) {
+            true => self.take_down(now, &job, before.clone(), out),
+            false => None,
+        };
+        if durable.is_some() && !before.is_empty() {
+            return self.go_on(now, ticket, job, durable, before, out);
         }
-        self.by_id.insert(job.id.clone(), ticket);
-        let (class, due) = (job.class, job.due);
         let tries = tries.unwrap_or_default();
         let known = tries.iter().all(|t| self.workers.contains_key(&t.worker));
         let attempts = tries.iter().filter_map(|t| {
             let stage = if t.ran.is_none() { Stage::Taken } else { Stage::Over };
             let addr = self.workers.get(&t.worker)?.addr;
             let (worker, may_have_run) = (t.worker.clone(), t.ran.unwrap_or(true));
-            Some(Attempt { worker, addr, sent: t.sent, stage, may_have_run })
+            Some(Attempt { worker, addr, sent: t.sent, stage, may_have_run, token: None, leased: None })
         });
-        let request = Request { id: job.id, class, due, answered: false, attempts: attempts.collect() };
+        let attempts = attempts.collect();
+        let request = self.admit(now, ticket, &job, attempts, durable, true);
+        if tries.is_empty() {
+            return self.decide(now, Event::Request(request), out);
+        }
+        if !known {
+            // Where it may have run can't be told to the module, which could then send it there or elsewhere again.
+            self.answer(now, ticket, Answer::Failed, out);
+            return self.abandon_all(now, ticket, out);
+        }
+        for number in 0..tries.len() as u32 {
+            self.set_timer(job.due, Timer::AttemptEnds(AttemptId(ticket, number)));
+        }
+        let tried = |t: Chapter| Tried { worker: WorkerId(t.worker), sent: t.sent, may_have_run: t.ran };
+        let tries: Vec<Tried> = tries.into_iter().map(tried).collect();
+        self.decide(now, Event::Adopted { request, tries: &tries }, out);
+    }
+
+    /// Opens a request; `first` tells whether its client waits here. Returns it as the module takes it.
+    fn admit(
+        &mut self,
+        now: Nanos,
+        ticket: RequestId,
+        job: &Job,
+        attempts: Vec<Attempt>,
+        durable: Option<JobNo>,
+        first: bool,
+    ) -> oatdock::Request {
+        self.by_id.insert(job.id.clone(), ticket);
+        let request = Request {
+            id: job.id.clone(),
+            class: job.class,
+            due: job.due,
+            answered: false,
+            attempts,
+            durable,
+            first,
+            joined: Vec::new(),
+        };
         self.requests.insert(ticket, request);
-        self.pending += 1;
+        if let (Some(no), Some(d)) = (durable, &mut self.durable) {
+            d.tickets.insert(no, ticket);
+        }
+        self.pending += usize::from(first);
         // Guards the one rule that nothing may break: should the module ever hold a request past its due time,
         // it still gets its answer.
         self.set_timer(job.due + self.tick, Timer::Overdue(ticket));
-        let request = oatdock::Request {
+        oatdock::Request {
             id: ticket,
             class: job.class,
             slots: job.slots,
@@ -536,21 +741,7 @@
             key: job.key,
             hint: None,
             left: job.due.saturating_sub(now),
-        };
-        if tries.is_empty() {
-            return self.decide(now, Event::Request(request), out);
-        }
-        if !known {
-            // Where it may have run can't be told to the module, which could then send it there or elsewhere again.
-            self.answer(ticket, Answer::Failed, out);
-            return self.abandon_all(now, ticket, out);
-        }
-        for number in 0..tries.len() as u32 {
-            self.set_timer(due, Timer::AttemptEnds(AttemptId(ticket, number)));
         }
-        let tried = |t: Chapter| Tried { worker: WorkerId(t.worker), sent: t.sent, may_have_run: t.ran };
-        let tries: Vec<Tried> = tries.into_iter().map(tried).collect();
-        self.decide(now, Event::Adopted { request, tries: &tries }, out);
     }
 
     /// Gives up what is open to the successor; a request of which a worker is just being told, one way or the other, must
@@ -563,41 +754,75 @@
         for ticket in movable.collect::<Vec<_>>() {
             let Some(request) = self.requests.remove(&ticket) else { continue };
             self.by_id.remove(&request.id);
-            self.pending -= 1;
+            self.pending -= usize::from(request.first) + request.joined.len();
+            let due = request.due;
+            for (joined, id) in request.joined {
+                self.joined.remove(&joined);
+                out.push(Effect::HandOver {
+                    ticket: joined,
+                    tale: Tale { id, due, tries: Vec::new(), durable: true },
+                });
+            }
             let chapter = |a: Attempt| {
                 let ran = (a.stage == Stage::Over).then_some(a.may_have_run);
                 Chapter { worker: a.worker, sent: a.sent, ran }
             };
-            let tries = request.attempts.into_iter().map(chapter).collect();
-            let tale = Tale { id: request.id, due: request.due, tries };
-            out.push(Effect::HandOver { ticket, tale });
+            // What the ledger holds the successor reads there.
+            let durable = request.durable.is_some();
+            let attempts = if durable { Vec::new() } else { request.attempts };
+            let tries = attempts.into_iter().map(chapter).collect();
+            if request.first {
+                out.push(Effect::HandOver { ticket, tale: Tale { id: request.id, due, tries, durable } });
+            }
             self.decide(now, Event::Gone(ticket), out);
         }
     }
 
     fn client_left(&mut self, now: Nanos, ticket: RequestId, out: &mut Vec<Effect>) {
+        if self.stays(ticket) {
+            return;
+        }
+        let durable = self.requests.get(&ticket).and_then(|r| r.durable);
         if !self.close(ticket, &Answer::Failed) {
             return;
         }
+        self.record_end(now, durable, &Answer::Failed, out);
         self.decide(now, Event::Gone(ticket), out);
         self.abandon_all(now, ticket, out);
         self.forget(ticket);
     }
 
-    fn answer(&mut self, ticket: RequestId, answer: Answer, out: &mut Vec<Effect>) {
-        if self.close(ticket, &answer) {
-            out.push(Effect::Answer { ticket, answer });
-            self.forget(ticket);
+    fn answer(&mut self, now: Nanos, ticket: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let (first, durable, due) = (request.first, request.durable, request.due);
+        if !self.close(ticket, &answer) {
+            return;
         }
+        let joined = self.requests.get_mut(&ticket).map(|r| (std::mem::take(&mut r.joined), r.class));
+        self.record_end(now, durable, &answer, out);
+        for (joined, class) in
+            joined.into_iter().flat_map(|(all, class)| all.into_iter().map(move |j| (j.0, class)))
+        {
+            self.joined.remove(&joined);
+            self.pending -= 1;
+            self.count(class, &answer);
+            out.push(durable::as_recorded(joined, answer.clone(), durable, due));
+        }
+        if first {
+            out.push(durable::as_recorded(ticket, answer, durable, due));
+        }
+        self.forget(ticket);
     }
 
     /// The one end of a request that was taken, if it has not had it yet.
     fn close(&mut self, ticket: RequestId, how: &Answer) -> bool {
         let Some(request) = self.requests.get_mut(&ticket).filter(|r| !r.answered) else { return false };
         request.answered = true;
-        let class = request.class;
-        self.pending -= 1;
-        self.count(class, how);
+        let (class, first) = (request.class, request.first);
+        if first {
+            self.pending -= 1;
+            self.count(class, how);
+        }
         true
     }
 
@@ -606,7 +831,7 @@
         match how {
             Answer::Served(_) => ends.completed += 1,
             Answer::Refused { .. } => ends.rejected += 1,
-            Answer::Failed | Answer::Unusable | Answer::Duplicate => ends.failed += 1,
+            Answer::Failed | Answer::Unusable | Answer::Duplicate | Answer::Mismatch => ends.failed += 1,
         }
     }
 
@@ -617,6 +842,9 @@
             && let Some(request) = self.requests.remove(&ticket)
         {
             self.by_id.remove(&request.id);
+            if let (Some(no), Some(d)) = (request.durable, &mut self.durable) {
+                d.tickets.remove(&no);
+            }
         }
     }
 
@@ -633,7 +861,11 @@
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let attempt = AttemptId(ticket, request.attempts.len() as u32);
         let until = wait.map_or(request.due, |span| request.due.min(now + span));
-        let Some(host) = self.workers.get(&to.0).filter(|_| !request.answered && now < until) else {
+        let (durable, first) = (request.durable, request.first);
+        // What can't be written down may not go out.
+        let barred = durable.is_some() && self.durable.as_ref().is_none_or(|d| d.failed);
+        let Some(host) = self.workers.get(&to.0).filter(|_| !request.answered && now < until && !barred)
+        else {
             let event = Event::Ended {
                 id: ticket,
                 attempt: attempt.1,
@@ -649,15 +881,28 @@
                 sent: now,
                 stage: Stage::Over,
                 may_have_run: false,
+                token: None,
+                leased: None,
             });
             return self.decide(now, event, out);
         };
         let addr = host.addr;
         let (worker, stage) = (to.0.clone(), Stage::Offered);
-        request.attempts.push(Attempt { worker, addr, sent: now, stage, may_have_run: true });
+        request.attempts.push(Attempt {
+            worker,
+            addr,
+            sent: now,
+            stage,
+            may_have_run: true,
+            token: None,
+            leased: None,
+        });
+        let offer = durable.and_then(|no| self.lease(now, no, attempt, out));
         self.set_timer(until, Timer::AttemptEnds(attempt));
         self.set_timer(until.min(now + TAKE_WAIT), Timer::Untaken(attempt));
-        out.push(Effect::Send { attempt, addr, until });
+        let text = durable.filter(|_| !first).and_then(|no| self.text(no));
+        let send = Effect::Send { attempt, addr, until, lease: offer, text };
+        out.push(if durable.is_some() { durable::durably(send, until) } else { send });
     }
 
     fn stage(&self, AttemptId(ticket, number): AttemptId) -> Option<Stage> {
@@ -666,14 +911,17 @@
 
     fn handover(&mut self, now: Nanos, attempt: AttemptId, how: Handover, out: &mut Vec<Effect>) {
         match (self.stage(attempt), how) {
-            (Some(Stage::Offered), Handover::Taken) => self.set_stage(attempt, Stage::Taken),
+            (Some(Stage::Offered), Handover::Taken { aware }) => {
+                self.set_stage(attempt, Stage::Taken);
+                self.held(attempt, aware, out);
+            }
             (Some(Stage::Offered | Stage::Leaving(_)), Handover::Ended(outcome, report)) => {
                 self.end(now, attempt, outcome, report, out);
             }
             // The fault is the request's, so it is not the worker that must be left alone for it, and a repeat would
             // only take it to the next one.
             (Some(Stage::Offered | Stage::Leaving(_)), Handover::Unusable) => {
-                self.answer(attempt.0, Answer::Unusable, out);
+                self.answer(now, attempt.0, Answer::Unusable, out);
                 self.end(now, attempt, Outcome::Cancelled, None, out);
             }
             // It was called off meanwhile, or a worker's notice has ended it before the answer to the send came.
@@ -691,36 +939,52 @@
     /// Notices repeat, overtake the answer to the send and come late: only one that matches an attempt that is
     /// still out, at the worker that it was sent to, changes anything. (The module never sends a request twice to
     /// one worker, so id and worker name the attempt.)
+    #[allow(clippy::too_many_arguments, reason = "a notice's parts")]
     fn news(
         &mut self,
         now: Nanos,
         id: &str,
         from: &str,
+        token: Option<u64>,
         news: News,
         report: Option<Report>,
         out: &mut Vec<Effect>,
-    ) {
-        let Some(&ticket) = self.by_id.get(id) else { return };
-        let Some(request) = self.requests.get(&ticket) else { return };
-        let out_there = |a: &Attempt| &*a.worker == from && a.stage != Stage::Over;
-        let Some(number) = request.attempts.iter().rposition(out_there) else { return };
+    ) -> Reply {
+        let ticket = self.by_id.get(id).copied();
+        let request = ticket.and_then(|t| Some((t, self.requests.get(&t)?)));
+        let out_there = |a: &Attempt| {
+            let fits = a.token.is_none() || token.is_none() || a.token.map(|t| t.0) == token;
+            &*a.worker == from && a.stage != Stage::Over && fits
+        };
+        let number = request.and_then(|(t, r)| Some((t, r.attempts.iter().rposition(out_there)?)));
+        let Some((ticket, number)) = number else { return self.stale(id, token) };
         let attempt = AttemptId(ticket, number as u32);
         if self.stage(attempt) == Some(Stage::Offered) {
             // Whatever became of its answer, it has the job.
             self.set_stage(attempt, Stage::Taken);
+            self.held(attempt, token.is_some(), out);
         }
+        let mut lease = None;
         let note = |note| Event::Note { id: ticket, attempt: attempt.1, note };
         match news {
-            News::Started => self.decide(now, note(Note::Started), out),
-            News::Running(share) => self.decide(now, note(Note::Progress(share)), out),
+            News::Started => {
+                lease = self.renew(now, attempt, token, out);
+                self.started(attempt, out);
+                self.decide(now, note(Note::Started), out);
+            }
+            News::Running(share) => {
+                lease = self.renew(now, attempt, token, out);
+                self.decide(now, note(Note::Progress(share)), out);
+            }
             News::Done(result) => {
-                self.answer(ticket, Answer::Served(result), out);
+                self.answer(now, ticket, Answer::Served(result), out);
                 self.end(now, attempt, Outcome::Ok, report, out);
             }
             News::Failed => self.end(now, attempt, Outcome::Error, report, out),
             News::Returned => self.end(now, attempt, Outcome::Full, report, out),
             News::Lost => self.end(now, attempt, Outcome::Reset, report, out),
         }
+        Reply::Heard { lease }
     }
 
     /// Calls an attempt off. While another may follow, its outcome waits until the worker knows, so that two are
@@ -766,7 +1030,9 @@
         };
         this.stage = Stage::Over;
         this.may_have_run = !outcome.never_ran();
+        let (ran, token, durable) = (this.may_have_run, this.token, request.durable);
         let lag = now.saturating_sub(this.sent);
+        self.released(durable, token, ran, out);
         let event = Event::Ended { id: ticket, attempt: number, outcome, closed, lag, report };
         self.decide(now, event, out);
         self.forget(ticket);
@@ -791,13 +1057,16 @@
                 Timer::AttemptEnds(attempt) => self.abandon(now, attempt, Outcome::Timeout, out),
                 Timer::Overdue(ticket) => {
                     if self.requests.get(&ticket).is_some_and(|r| !r.answered) {
-                        self.answer(ticket, Answer::Failed, out);
+                        self.answer(now, ticket, Answer::Failed, out);
                         self.decide(now, Event::Gone(ticket), out);
                         self.abandon_all(now, ticket, out);
                     }
                 }
+                Timer::JoinedOverdue(ticket) => self.joined_overdue(ticket, out),
+                Timer::LeaseEnds(attempt) => self.lease_ends(now, attempt, out),
             }
         }
+        self.expire(now, out);
     }
 
     // ------------------------------------------------------------ workers
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -151,6 +151,8 @@
         job: JobNo,
         /// The lease.
         token: Token,
+        /// Whether it goes by the lease.
+        aware: bool,
     },
     /// The worker was told that it may go on.
     Renewed {
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -30,6 +30,8 @@
     pub until: Nanos,
     /// The worker has said that it has the job.
     pub held: bool,
+    /// The worker goes by the lease: it stops when it may not believe in it any more.
+    pub aware: bool,
 }
 
 impl Lease {
@@ -390,8 +392,14 @@
                 if token.0 < self.next_token {
                     return Err(bad("its token was given before"));
                 }
-                let lease =
-                    Lease { token: *token, place: place.clone(), sent: *sent, until: *until, held: false };
+                let lease = Lease {
+                    token: *token,
+                    place: place.clone(),
+                    sent: *sent,
+                    until: *until,
+                    held: false,
+                    aware: false,
+                };
                 self.change(*job, |job| match &job.stage {
                     Stage::Taken => {
                         job.stage = Stage::Leased(lease);
@@ -403,10 +411,11 @@
                 .map_err(bad)?;
                 self.next_token = token.0 + 1;
             }
-            Record::Held { job, token } => self
+            Record::Held { job, token, aware } => self
                 .change(*job, |job| {
                     let lease = lease_of(job, *token)?;
                     lease.held = true;
+                    lease.aware |= aware;
                     Ok(())
                 })
                 .map_err(bad)?,
@@ -415,7 +424,7 @@
                     let lease = lease_of(job, *token)?;
                     // A worker that was told a later moment goes by that.
                     lease.until = lease.until.max(*until);
-                    lease.held = true;
+                    (lease.held, lease.aware) = (true, true);
                     Ok(())
                 })
                 .map_err(bad)?,
@@ -501,6 +510,13 @@
         self.apply(record)
     }
 
+    /// The next record will be number `next`: whatever came before it and was not read is not needed.
+    pub fn seek(&mut self, next: Lsn) {
+        if self.last + 1 != next {
+            (self.last, self.trimmed) = (next.saturating_sub(1), true);
+        }
+    }
+
     /// Another process goes on: all times are read in its clock from here.
     fn begin(&mut self, session: &Session, lsn: Lsn) {
         if let Some(old) = self.session.take() {
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -63,7 +63,7 @@
         (&start, leased(1, 2, "s-b"), "an attempt is out"),
         (&start, leased(1, 1, "s-b"), "its token was given before"),
         (&start, Record::Started { job: no, token: Token(9) }, "another lease is out"),
-        (&start[..1], Record::Held { job: no, token }, "no lease is out"),
+        (&start[..1], Record::Held { job: no, token, aware: true }, "no lease is out"),
         (&start[..1], Record::Answered { job: no }, "the job has no end"),
         (&start, Record::Taken(taken(1, None, Repeats::Never)), "its number was given before"),
         (&start, Record::Taken(taken(2, Some("k"), Repeats::Never)), "another job of its key is open"),
@@ -231,7 +231,7 @@
     prop_oneof![
         3 => (job.clone(), prop::option::of("[ab]"), repeats).prop_map(|(j, k, r)| Record::Taken(taken(j, k.as_deref(), r))),
         4 => (job.clone(), token.clone()).prop_map(|(j, t)| leased(j, t, "s-a")),
-        1 => (job.clone(), token.clone()).prop_map(|(j, t)| Record::Held { job: JobNo(j), token: Token(t) }),
+        1 => (job.clone(), token.clone()).prop_map(|(j, t)| Record::Held { job: JobNo(j), token: Token(t), aware: t % 2 == 0 }),
         1 => (job.clone(), token.clone(), 0u64..200).prop_map(|(j, t, u)| Record::Renewed { job: JobNo(j), token: Token(t), until: u * SEC }),
         1 => (job.clone(), token.clone()).prop_map(|(j, t)| Record::Started { job: JobNo(j), token: Token(t) }),
         2 => (job.clone(), token, any::<bool>()).prop_map(|(j, t, ran)| Record::Released { job: JobNo(j), token: Token(t), ran }),
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -78,6 +78,8 @@
     idled: Notify,
     /// The most connections at a time.
     budget: AtomicUsize,
+    /// A ledger wants to know requests again.
+    marks: bool,
     /// Requests can be taken.
     pub ready: AtomicBool,
     /// Connections are to end with the answer that they wait for.
@@ -389,6 +391,7 @@
         clock: Clock,
         to: UnboundedSender<Message>,
         budget: usize,
+        marks: bool,
     ) -> Self {
         Front {
             names,
@@ -399,6 +402,7 @@
             ended: Notify::new(),
             idled: Notify::new(),
             budget: AtomicUsize::new(budget),
+            marks,
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
         }
@@ -599,7 +603,7 @@
         let _ = self.to.send(Message::Notice { notice, body, from: None, heard: Some(heard) });
         // The process that it is for may just have ended; a worker repeats what was not taken.
         match timeout_at(Instant::now() + PASS_WAIT, word).await {
-            Ok(Ok(())) => Ok(wire::plain(StatusCode::OK, "")),
+            Ok(Ok(reply)) => Ok(wire::heard(reply)),
             _ => Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "nobody has taken this notice")),
         }
     }
@@ -616,10 +620,16 @@
         // Its time counts from the last byte.
         job.due += self.clock.now() - arrived;
         busy.line.proven.store(true, Ordering::Relaxed);
+        let parcel = wire::parcel(head, body);
+        if self.marks {
+            job.mark = Some(wire::mark(&parcel).inspect_err(|_| {
+                let _ = self.to.send(Message::Input(Input::TurnedAway { class }));
+            })?);
+        }
         let ticket = RequestId(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
         let line = busy.line.clone();
-        let arrival = Arrival { ticket, job, parcel: wire::parcel(head, body), line, reply };
+        let arrival = Arrival { ticket, job, parcel, line, reply };
         let mut departure = Departure { ticket, to: &self.to, answered: false };
         let _ = self.to.send(Message::Arrival(arrival));
         let answer = answer.await.unwrap_or(Answer::Failed);
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,5 +1,8 @@
 //! The clock that everything goes by.
 use oatdock::Nanos;
+use rustix::time::{ClockId, clock_gettime};
+use spanlead_ledger::Anchor;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
@@ -28,4 +31,15 @@
     pub fn instant(&self, at: Nanos) -> Instant {
         self.start + Duration::from_nanos(at.saturating_sub(self.wall))
     }
+
+    /// How this clock reads against the machine's own, which goes on whatever is done to the wall clock and while no
+    /// process runs.
+    pub fn anchor(&self) -> Anchor {
+        let up = clock_gettime(ClockId::Boottime);
+        let up = up.tv_sec as Nanos * 1_000_000_000 + up.tv_nsec as Nanos;
+        // Where the system names no start, none is known to be the same as another.
+        let boot = std::fs::read_to_string("/proc/sys/kernel/random/boot_id");
+        let boot = boot.unwrap_or_else(|_| format!("{}", self.wall));
+        Anchor { boot: Arc::from(boot.trim()), up, clock: self.now() }
+    }
 }
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -3,7 +3,8 @@
 use crate::relay::{Kin, Link};
 use crate::wire::Notice;
 use bytes::Bytes;
-use spanlead_core::{Input, Tale};
+use spanlead_core::{Durability, Input, Reply, Tale};
+use spanlead_store::{Progress, Writer};
 use std::os::fd::OwnedFd;
 use tokio::sync::oneshot;
 
@@ -15,7 +16,7 @@
         notice: Notice,
         body: Bytes,
         from: Option<Link>,
-        heard: Option<oneshot::Sender<()>>,
+        heard: Option<oneshot::Sender<Reply>>,
     },
     Kin(Kin),
     /// The predecessor has handed over an open request: what became of it so far, its text and its client's socket.
@@ -25,4 +26,8 @@
         socket: OwnedFd,
     },
     Input(Input),
+    /// The ledger was read, and can be written to; or why not.
+    Ledger(Result<Box<(Durability, Writer)>, String>),
+    /// How far the ledger is durable.
+    Progress(Progress),
 }
--- a/crates/net/src/relay.rs
+++ b/crates/net/src/relay.rs
@@ -9,7 +9,7 @@
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
-use spanlead_core::Tale;
+use spanlead_core::{Reply, Tale};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -29,9 +29,9 @@
 /// What goes to the other process.
 pub enum Passed {
     /// A notice, and who waits to hear that it is there.
-    Notice { body: Bytes, there: oneshot::Sender<()> },
+    Notice { body: Bytes, there: oneshot::Sender<Reply> },
     /// An open request: what became of it so far, its text and its client's socket, and who waits to hear likewise.
-    Request { tale: Tale, text: Bytes, socket: OwnedFd, there: oneshot::Sender<()> },
+    Request { tale: Tale, text: Bytes, socket: OwnedFd, there: oneshot::Sender<Reply> },
 }
 
 /// The way to another process of this scheduler.
@@ -96,8 +96,8 @@
 
 /// What goes over the link, after its number, kind and length.
 enum Frame {
-    /// The notice of that number has come.
-    There,
+    /// What came under that number has been heard, with what its worker is to be told.
+    There(Reply),
     Notice(Bytes),
     /// What became of a request so far, as a line of JSON, then its text. Its client's socket comes beside it.
     Request(Bytes),
@@ -109,10 +109,16 @@
 
 impl Frame {
     fn encode(&self, number: u64) -> Vec<u8> {
+        let lease: [u8; 8];
         let (kind, body): (u8, &[u8]) = match self {
-            Frame::There => (0, &[]),
+            Frame::There(Reply::Heard { lease: None }) => (0, &[]),
+            Frame::There(Reply::Heard { lease: Some(span) }) => {
+                lease = span.to_be_bytes();
+                (0, &lease)
+            }
             Frame::Notice(body) => (1, body),
             Frame::Request(body) => (2, body),
+            Frame::There(Reply::Fenced) => (3, &[]),
         };
         [&number.to_be_bytes()[..], &[kind], &(body.len() as u32).to_be_bytes(), body].concat()
     }
@@ -141,7 +147,11 @@
         }
         let body = self.buffer.split_to(length).freeze();
         match kind {
-            0 => Ok((number, Frame::There)),
+            0 => {
+                let lease = (body.len() == 8).then(|| (&body[..]).get_u64());
+                Ok((number, Frame::There(Reply::Heard { lease })))
+            }
+            3 => Ok((number, Frame::There(Reply::Fenced))),
             1 => Ok((number, Frame::Notice(body))),
             2 => Ok((number, Frame::Request(body))),
             _ => Err(io::ErrorKind::InvalidData.into()),
@@ -223,9 +233,14 @@
     });
     let _reading = AbortOnDrop(reading.abort_handle());
     let mut last: u64 = 0;
-    let mut waiting: HashMap<u64, oneshot::Sender<()>> = HashMap::new();
+    let mut waiting: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
+    // A notice is there when its consequence is, which a ledger may have to write down first.
+    let (heard, mut replies) = unbounded_channel();
     loop {
         tokio::select! {
+            Some((number, reply)) = replies.recv() => {
+                write(&stream, &Frame::There(reply).encode(number), None).await?;
+            }
             Some(passed) = passed.recv() => {
                 last += 1;
                 let (frame, socket) = match passed {
@@ -242,15 +257,19 @@
                 write(&stream, &frame.encode(last), socket).await?;
             }
             Some(frame) = come.recv() => match frame? {
-                ((number, Frame::There), _) => {
-                    let _ = waiting.remove(&number).map(|there| there.send(()));
+                ((number, Frame::There(reply)), _) => {
+                    let _ = waiting.remove(&number).map(|there| there.send(reply));
                 }
                 ((number, Frame::Notice(body)), _) => {
                     if let Some(notice) = Notice::read(&body) {
-                        let from = Some(this.clone());
-                        let _ = to.send(Message::Notice { notice, body, from, heard: None });
+                        let (from, heard, (tell, told)) = (Some(this.clone()), heard.clone(), oneshot::channel());
+                        let _ = to.send(Message::Notice { notice, body, from, heard: Some(tell) });
+                        tokio::spawn(async move {
+                            if let Ok(reply) = told.await {
+                                let _ = heard.send((number, reply));
+                            }
+                        });
                     }
-                    write(&stream, &Frame::There.encode(number), None).await?;
                 }
                 ((number, Frame::Request(mut body)), socket) => {
                     let line = body.iter().position(|b| *b == b'\n').ok_or(io::ErrorKind::InvalidData)?;
@@ -258,7 +277,8 @@
                     body.advance(1);
                     let socket = socket.ok_or(io::ErrorKind::InvalidData)?;
                     let _ = to.send(Message::Adopted { tale, text: body, socket });
-                    write(&stream, &Frame::There.encode(number), None).await?;
+                    let there = Frame::There(Reply::Heard { lease: None });
+                    write(&stream, &there.encode(number), None).await?;
                 }
             },
         }
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -8,11 +8,11 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use oatdock::{Nanos, Report, WorkerState};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use settings::{Figures, Names, Reports, position};
-use spanlead_core::{Answer, Figures as Shown, Host, Job, News};
+use spanlead_core::{Answer, Figures as Shown, Host, Job, Mark, News, Offer, Reply as NoticeReply};
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// No body is larger.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -28,12 +28,16 @@
 static REQ_EXTRA: HeaderName = HeaderName::from_static("req-extra");
 static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 static DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+static LEASE_TOKEN: HeaderName = HeaderName::from_static("lease-token");
+static LEASE_MS: HeaderName = HeaderName::from_static("lease-ms");
 static LOAD: HeaderName = HeaderName::from_static("srv-load");
 
 /// The longest deadline that is believed, milliseconds: later ones could only be a mistake.
 const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
 /// The most slots or memory units of a job that are believed: more than any machine has.
 const MAX_FIGURE: f64 = 4096.0;
+/// The longest key that the ledger takes.
+const MAX_KEY: usize = 256;
 /// The longest id; it becomes part of a path.
 const MAX_ID: usize = 128;
 
@@ -106,9 +110,62 @@
         memory: figure("memory", 0.0)?,
         key: head.headers.get(&REQ_KEY).map(|k| xxh3_64(k.as_bytes())),
         due: arrived + deadline * 1_000_000,
+        mark: None,
     })
 }
 
+/// What the ledger needs of a request: what it is known again by, and the request for another process to send.
+///
+/// # Errors
+/// If its key can't be kept.
+pub fn mark(parcel: &Parcel) -> Result<Mark, Rejected> {
+    let key = match parcel.headers.get(&IDEMPOTENCY_KEY) {
+        None => None,
+        Some(value) => {
+            let plain = value.to_str().ok().map(str::trim).filter(|k| !k.is_empty() && k.len() <= MAX_KEY);
+            Some(Arc::from(plain.ok_or(bad("Idempotency-Key is not 1 to 256 plain characters"))?))
+        }
+    };
+    let content = parcel.headers.get(&CONTENT_TYPE).map_or(&[][..], HeaderValue::as_bytes);
+    let mut digest = Xxh3::new();
+    for part in [parcel.method.as_str().as_bytes(), parcel.uri.to_string().as_bytes(), content, &parcel.body]
+    {
+        digest.update(&(part.len() as u64).to_le_bytes());
+        digest.update(part);
+    }
+    Ok(Mark { key, fingerprint: digest.digest128().to_le_bytes(), text: stored(parcel) })
+}
+
+/// A request as the ledger keeps it: what a worker will need of it.
+#[derive(Deserialize, Serialize)]
+struct Stored<'a> {
+    method: &'a str,
+    uri: String,
+    #[serde(borrow)]
+    headers: Vec<(&'a str, &'a [u8])>,
+    body: &'a [u8],
+}
+
+fn stored(parcel: &Parcel) -> Bytes {
+    let kept = [&REQ_ID, &IDEMPOTENCY_KEY, &CONTENT_TYPE].into_iter();
+    let headers = kept.filter_map(|n| Some((n.as_str(), parcel.headers.get(n)?.as_bytes()))).collect();
+    let (method, uri) = (parcel.method.as_str(), parcel.uri.to_string());
+    let stored = Stored { method, uri, headers, body: &parcel.body };
+    postcard::to_stdvec(&stored).unwrap_or_default().into()
+}
+
+/// A request that the ledger kept; `None` if it is none.
+pub fn restored(text: &Bytes) -> Option<Parcel> {
+    let stored: Stored<'_> = postcard::from_bytes(text).ok()?;
+    let mut headers = HeaderMap::new();
+    for (name, value) in &stored.headers {
+        headers.insert(HeaderName::try_from(*name).ok()?, HeaderValue::from_bytes(value).ok()?);
+    }
+    let method = Method::from_bytes(stored.method.as_bytes()).ok()?;
+    let uri = Uri::try_from(stored.uri).ok()?;
+    Some(Parcel { method, uri, headers, body: text.slice_ref(stored.body) })
+}
+
 /// Keeps what a worker will need of a request.
 pub fn parcel(head: Parts, body: Bytes) -> Parcel {
     Parcel { method: head.method, uri: head.uri, headers: head.headers, body }
@@ -141,6 +198,9 @@
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         Answer::Unusable => plain(StatusCode::UNPROCESSABLE_ENTITY, "the worker can't use this request\n"),
         Answer::Duplicate => plain(StatusCode::CONFLICT, "a request with this id is open\n"),
+        Answer::Mismatch => {
+            plain(StatusCode::UNPROCESSABLE_ENTITY, "this Idempotency-Key was used for another request\n")
+        }
     }
 }
 
@@ -221,6 +281,8 @@
     share: f64,
     #[serde(default)]
     result: String,
+    /// The lease's, from a worker that goes by it.
+    pub token: Option<u64>,
     pub load: Option<Figures>,
 }
 
@@ -254,10 +316,26 @@
     }
 }
 
+/// The answer to a worker's notice.
+pub fn heard(reply: NoticeReply) -> Response<Body> {
+    match reply {
+        NoticeReply::Heard { lease } => {
+            let mut response = plain(StatusCode::OK, "");
+            if let Some(span) = lease {
+                response.headers_mut().insert(&LEASE_MS, HeaderValue::from(span / 1_000_000));
+            }
+            response
+        }
+        NoticeReply::Fenced => plain(StatusCode::GONE, "this lease is over\n"),
+    }
+}
+
 /// What a worker answered: all that matters of it.
 #[derive(Debug)]
 pub struct Reply {
     pub status: StatusCode,
+    /// The worker says that it goes by the lease.
+    pub aware: bool,
     /// The worker says that it has not begun.
     pub declined: bool,
     pub report: Option<Report>,
@@ -268,7 +346,8 @@
 pub fn reply(status: StatusCode, headers: &HeaderMap, body: Bytes, reports: Reports) -> Reply {
     let declined = headers.get(&DECLINED).is_some_and(|v| v == "1");
     let load = text(headers, &LOAD).and_then(load);
-    Reply { status, declined, report: load.map(|f| reports.report(f)), body }
+    let aware = headers.contains_key(&LEASE_TOKEN);
+    Reply { status, aware, declined, report: load.map(|f| reports.report(f)), body }
 }
 
 /// Reads a load report: `TEXT name=value, ...`, or the same as a JSON object.
@@ -283,8 +362,9 @@
     Figures::deserialize(serde_json::Value::Object(numbers.collect())).ok()
 }
 
-/// The request that hands a job to a worker; `left_ms` is how long the scheduler will wait.
-pub fn handover(parcel: &Parcel, left_ms: u64) -> Request<Body> {
+/// The request that hands a job to a worker; `left_ms` is how long the scheduler will wait. The lease's length counts from
+/// when the worker has this.
+pub fn handover(parcel: &Parcel, left_ms: u64, lease: Option<Offer>) -> Request<Body> {
     let mut request = Request::new(Full::new(parcel.body.clone()));
     *request.method_mut() = parcel.method.clone();
     *request.uri_mut() = parcel.uri.clone();
@@ -296,6 +376,10 @@
         }
     }
     headers.insert(&REQ_DEADLINE, HeaderValue::from(left_ms));
+    if let Some(Offer { token, length }) = lease {
+        headers.insert(&LEASE_TOKEN, HeaderValue::from(token));
+        headers.insert(&LEASE_MS, HeaderValue::from(length / 1_000_000));
+    }
     request
 }
 
--- a/crates/net/src/workers.rs
+++ b/crates/net/src/workers.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt::TokioIo;
 use oatdock::{Outcome, Report};
 use settings::Reports;
-use spanlead_core::Handover;
+use spanlead_core::{Handover, Offer};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -239,6 +239,7 @@
         &self,
         addr: SocketAddr,
         parcel: &Parcel,
+        lease: Option<Offer>,
         until: Instant,
         whole: impl FnOnce() + Send + 'static,
     ) -> Handover {
@@ -246,11 +247,11 @@
         let reply = async {
             let connection = self.connect_anew(addr, until).await?;
             *lock(&connection.meter.whole) = Some(Box::new(whole));
-            self.call_over(addr, connection, &|| Some(wire::handover(parcel, left_ms)), until).await
+            self.call_over(addr, connection, &|| Some(wire::handover(parcel, left_ms, lease)), until).await
         };
         match reply.await {
             Ok(reply) => match reply.status {
-                StatusCode::ACCEPTED => Handover::Taken,
+                StatusCode::ACCEPTED => Handover::Taken { aware: lease.is_some() && reply.aware },
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if reply.declined => {
                     Handover::Ended(Outcome::Full, reply.report)
                 }
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -1,9 +1,14 @@
 //! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
 use crate::config::{Config, Keys, Shares};
+use crate::ledger;
 use bytes::Bytes;
+use oatdock::Nanos;
+use oatdock::Outcome;
 use oatdock::{ListScope, RequestId};
 use settings::{Deployment, Names, Reports};
-use spanlead_core::{Answer, AttemptId, Core, Effect, Input, Tale};
+use spanlead_conf as conf;
+use spanlead_core::{Answer, AttemptId, Core, Durability, Effect, Handover, Input, Reply, Tale};
+use spanlead_ledger::Record;
 use spanlead_net::clients::{self, Arrival, Front, Line};
 use spanlead_net::discovery::Discovery;
 use spanlead_net::operator::{self, Asked};
@@ -12,7 +17,8 @@
 use spanlead_net::wire::{self, Notice, OperatorCall, OperatorReply, Parcel};
 use spanlead_net::workers::Pool;
 use spanlead_net::{Clock, Message};
-use std::collections::HashMap;
+use spanlead_store::{Progress, Writer};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,9 +34,14 @@
 
 /// How often idle connections to workers are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// How often what waits for the disk is looked through for what it is too late for.
+const STALL_CHECK: Duration = Duration::from_millis(50);
 /// How long the last connections may take to close at the end.
 const LAST_CLOSE: Duration = Duration::from_secs(1);
 
+/// A notice, and who waits for what it is answered.
+type Heard = (Notice, Option<oneshot::Sender<Reply>>);
+
 struct Open {
     line: Arc<Line>,
     reply: oneshot::Sender<Answer>,
@@ -60,11 +71,18 @@
     predecessor: Option<Link>,
     successor: Option<Link>,
     /// Requests that the predecessor has handed over and that are still to be read here, with the notices for them.
-    adopted: HashMap<Arc<str>, (Tale, Vec<Notice>)>,
+    adopted: HashMap<Arc<str>, (Tale, Vec<Heard>)>,
     /// Requests that the successor has, and what would answer them here, which must not be heard of again.
     released: HashMap<Arc<str>, oneshot::Sender<Answer>>,
     /// Those of them that may still be on their way.
-    leaving: Vec<oneshot::Receiver<()>>,
+    leaving: Vec<oneshot::Receiver<Reply>>,
+    /// The ledger, if one is wanted.
+    ledger: Option<Ledger>,
+    /// Who waits for the answers to workers' notices.
+    notes: HashMap<u64, oneshot::Sender<Reply>>,
+    note: u64,
+    /// Why this process can't go on.
+    broken: Option<String>,
     /// What this process may hold alone, and beside another.
     shares: [Shares; 2],
     /// The listening socket, until this process can serve where another still does.
@@ -74,8 +92,34 @@
     effects: Vec<Effect>,
 }
 
+/// The ledger's way to the disk. What must be durable before it is seen waits here.
+struct Ledger {
+    stage: Stage,
+    store: Option<Writer>,
+    /// The last record that was given to the store, and the last that is durable.
+    given: u64,
+    durable: u64,
+    /// Effects that wait for the record of that number, until that time at the latest.
+    waiting: VecDeque<(u64, Nanos, Effect)>,
+    /// Attempts among them that are still wanted.
+    unsent: HashSet<AttemptId>,
+    /// What came before the ledger was open.
+    held_back: Vec<Message>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// It is being read, or another process has it.
+    Opening,
+    Open,
+    /// It can't be written to any more; what is open ends.
+    Failed,
+    /// It is another process's.
+    Released,
+}
+
 /// Serves until told to stop, then until nothing is owed.
-pub async fn serve(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+pub async fn serve(config: Config, conf: conf::Conf) -> Result<(), Box<dyn std::error::Error>> {
     let tuning = config.tuning();
     let deployment = config.deployment;
     let names = watch::Sender::new(Arc::new(deployment.names.clone()));
@@ -107,9 +151,29 @@
     }
     let shares = [config.shares, config.half];
     let share = shares[usize::from(predecessor.is_some())];
-    let front = Arc::new(Front::new(names.subscribe(), clock, to.clone(), share.clients));
+    let marks = conf.ledger.is_some();
+    let front = Arc::new(Front::new(names.subscribe(), clock, to.clone(), share.clients, marks));
+    if let Some(settings) = conf.ledger {
+        ledger::open(settings, clock, predecessor.is_some(), to.clone());
+    }
+    let ledger = marks.then(|| Ledger {
+        stage: Stage::Opening,
+        store: None,
+        given: 0,
+        durable: 0,
+        waiting: VecDeque::new(),
+        unsent: HashSet::new(),
+        held_back: Vec::new(),
+    });
     let mut driver = Driver {
-        core: Core::new(deployment.settings.clone(), config.seed, share.open, config.discovery)?,
+        core: Core::new(
+            deployment.settings.clone(),
+            Arc::new(deployment.names.clone()),
+            config.seed,
+            share.open,
+            config.discovery,
+            marks,
+        )?,
         clock,
         reports: deployment.reports,
         open: HashMap::new(),
@@ -127,6 +191,10 @@
         adopted: HashMap::new(),
         released: HashMap::new(),
         leaving: Vec::new(),
+        ledger,
+        notes: HashMap::new(),
+        note: 0,
+        broken: None,
         shares,
         listener: Some(listener),
         accepting: None,
@@ -138,6 +206,9 @@
     driver.step(known);
     tracing::info!(name = config.name, address = %bound, "listening");
     driver.run(inbox, asked, signals).await;
+    if let Some(why) = driver.broken {
+        return Err(why.into());
+    }
     tracing::info!("nothing is owed any more");
     Ok(())
 }
@@ -167,6 +238,7 @@
         mut signals: Signals,
     ) {
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
+        let mut stall = tokio::time::interval(STALL_CHECK);
         while !self.finished() {
             let timer = self.core.next_timer(self.clock.now()).map(|at| self.clock.instant(at));
             let far = Instant::now() + SWEEP_EVERY;
@@ -177,6 +249,7 @@
                 _ = signals.interrupt.recv() => self.stop(),
                 _ = signals.hang_up.recv() => self.reload(),
                 _ = sweep.tick() => self.sweep(),
+                _ = stall.tick(), if self.ledger.as_ref().is_some_and(|l| !l.waiting.is_empty()) => self.too_late(),
                 () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
                 message = inbox.recv() => if let Some(message) = message { self.receive(message) },
             }
@@ -189,6 +262,7 @@
         match Config::again(&self.keys) {
             Ok(config) => {
                 let (discovery, tuning, mut settings) = (config.discovery, config.tuning(), None);
+                let mut names = self.names.borrow().clone();
                 self.keys = config.keys;
                 if config.deployment != self.deployment {
                     self.deployment = config.deployment.clone();
@@ -197,10 +271,11 @@
                     self.reports = new.reports;
                     self.pool.tune(tuning);
                     // Who reads by them is heard only after the reducer knows the new numbers.
-                    self.names.send_replace(Arc::new(new.names));
+                    names = Arc::new(new.names);
+                    self.names.send_replace(names.clone());
                 }
                 tracing::info!(%discovery, settings = settings.is_some(), "configuration read again");
-                self.step(Input::Reloaded { discovery, settings });
+                self.step(Input::Reloaded { discovery, settings, names });
             }
             Err(error) => {
                 tracing::error!("the new configuration is not used: {error}");
@@ -213,9 +288,18 @@
     fn operate(&mut self, Asked { call, reply }: Asked) {
         let answer = match call {
             OperatorCall::Readiness if self.core.serves() => OperatorReply::Yes,
-            OperatorCall::Readiness => OperatorReply::No("no worker is known, or the process is ending\n"),
+            OperatorCall::Readiness => {
+                OperatorReply::No("no worker is known, the ledger can't be used, or the process is ending\n")
+            }
             OperatorCall::Stats => {
-                let figures = self.core.figures(self.clock.now(), &self.names.borrow().classes);
+                let mut figures = self.core.figures(self.clock.now(), &self.names.borrow().classes);
+                let stats = self.ledger.as_ref().and_then(|l| l.store.as_ref()).map(Writer::stats);
+                if let (Some(ledger), Some(stats)) = (&mut figures.ledger, stats) {
+                    (ledger.commits, ledger.records) = (stats.commits, stats.records);
+                    ledger.commit_p50_us = stats.p50.as_micros() as u64;
+                    ledger.commit_p99_us = stats.p99.as_micros() as u64;
+                    ledger.commit_max_us = stats.max.as_micros() as u64;
+                }
                 OperatorReply::Figures(Box::new(figures))
             }
             OperatorCall::Drain(on) => {
@@ -234,6 +318,7 @@
         }
         if self.core.finishing(self.clock.now()) && self.successor.is_some() {
             self.step(Input::HandOver);
+            self.release_ledger();
         }
         // An idle client would only find out from its next request that nothing new should come here.
         if self.core.turned_away(self.clock.now()) {
@@ -244,6 +329,9 @@
     /// With a successor this process must also be done with every connection that it accepted: what they still bring is
     /// served here.
     fn finished(&mut self) -> bool {
+        if self.broken.is_some() {
+            return true;
+        }
         self.leaving.retain_mut(|arrived| matches!(arrived.try_recv(), Err(TryRecvError::Empty)));
         let alone = self.successor.is_none() || self.front.empty() && self.leaving.is_empty();
         self.core.finished(self.clock.now()) && alone
@@ -284,12 +372,11 @@
         notice: Notice,
         body: Bytes,
         from: Option<Link>,
-        heard: Option<oneshot::Sender<()>>,
+        heard: Option<oneshot::Sender<Reply>>,
     ) {
         let mut passed = Vec::new();
         if let Some((_, notices)) = self.adopted.get_mut(&*notice.id) {
-            notices.push(notice);
-            let _ = heard.map(|heard| heard.send(()));
+            notices.push((notice, heard));
             return;
         }
         if !self.core.knows(&notice.id) {
@@ -304,25 +391,29 @@
             }
         }
         if passed.is_empty() {
-            self.heed(notice);
-            let _ = heard.map(|heard| heard.send(()));
-            return;
+            return self.heed(notice, heard);
         }
         tokio::spawn(async move {
+            let mut all = Vec::new();
             for arrived in passed {
                 // One that has gone takes its jobs with it; the worker asks again and is then answered here.
-                if arrived.await.is_err() {
-                    return;
-                }
+                let Ok(reply) = arrived.await else { return };
+                all.push(reply);
             }
-            let _ = heard.map(|heard| heard.send(()));
+            // Whoever holds the lease says so; of one that nobody holds all say the same.
+            let held = all.iter().find(|r| matches!(r, Reply::Heard { lease: Some(_) }));
+            let reply = held.or(all.first()).copied().unwrap_or(Reply::Heard { lease: None });
+            let _ = heard.map(|heard| heard.send(reply));
         });
     }
 
-    fn heed(&mut self, mut notice: Notice) {
+    fn heed(&mut self, mut notice: Notice, heard: Option<oneshot::Sender<Reply>>) {
         let news = notice.news();
         let report = notice.load.map(|f| self.reports.report(f));
-        self.step(Input::News { id: notice.id, from: notice.from, news, report });
+        self.note += 1;
+        let note = self.note;
+        self.notes.extend(heard.map(|heard| (note, heard)));
+        self.step(Input::News { note, id: notice.id, from: notice.from, token: notice.token, news, report });
     }
 
     /// Hands an open request to the successor, with its client's socket.
@@ -356,15 +447,27 @@
     }
 
     fn receive(&mut self, message: Message) {
+        // Before the ledger is read nobody can tell what is new and what is a repeat.
+        if let Some(ledger) = self.ledger.as_mut().filter(|l| l.stage == Stage::Opening)
+            && matches!(message, Message::Arrival(_) | Message::Notice { .. } | Message::Adopted { .. })
+        {
+            return ledger.held_back.push(message);
+        }
         match message {
+            Message::Ledger(Ok(opened)) => self.opened(*opened),
+            Message::Ledger(Err(why)) => self.broken = Some(why),
+            Message::Progress(progress) => self.progress(progress),
             Message::Arrival(Arrival { ticket, mut job, parcel, line, reply }) => {
                 self.open.insert(ticket, Open { line, reply, parcel: Arc::new(parcel) });
                 let Some((tale, notices)) = self.adopted.remove(&job.id) else {
-                    return self.step(Input::Request { ticket, job, tries: None });
+                    return self.step(Input::Request { ticket, job, tries: None, durable: false });
                 };
-                job.due = tale.due;
-                self.step(Input::Request { ticket, job, tries: Some(tale.tries) });
-                notices.into_iter().for_each(|notice| self.heed(notice));
+                let Tale { due, tries, durable, .. } = tale;
+                if !durable {
+                    job.due = due;
+                }
+                self.step(Input::Request { ticket, job, tries: Some(tries), durable });
+                notices.into_iter().for_each(|(notice, heard)| self.heed(notice, heard));
             }
             Message::Adopted { tale, text, socket } => {
                 let id = tale.id.clone();
@@ -398,7 +501,9 @@
         self.front.ready.store(self.core.ready(), Ordering::Relaxed);
         self.front.closing.store(self.core.closing(), Ordering::Relaxed);
         // Beside another that serves, nobody should meet one that can't yet.
-        if (self.predecessor.is_none() || self.core.serves())
+        let opening = self.ledger.as_ref().is_some_and(|l| l.stage == Stage::Opening);
+        if !opening
+            && (self.predecessor.is_none() || self.core.serves())
             && let Some(listener) = self.listener.take()
         {
             self.accepting = Some(tokio::spawn(self.front.clone().listen(listener)));
@@ -408,24 +513,37 @@
     fn perform(&mut self, effect: Effect) {
         let (pool, to) = (self.pool.clone(), self.to.clone());
         match effect {
-            Effect::Answer { ticket, answer } => {
+            Effect::Answer { ticket, answer, job } => {
                 if let Some(open) = self.open.remove(&ticket) {
                     // A client that has just left needs no answer.
-                    let _ = open.reply.send(answer);
+                    let sent = open.reply.send(answer).is_ok();
+                    if let Some(job) = job.filter(|_| sent) {
+                        let _ = to.send(Message::Input(Input::Answered { job }));
+                    }
                 }
             }
-            Effect::Send { attempt, addr, until } => {
-                let Some(open) = self.open.get(&attempt.0) else { return };
-                let (parcel, until) = (open.parcel.clone(), self.clock.instant(until));
+            Effect::Send { attempt, addr, until, lease, text } => {
+                let parcel = match (self.open.get(&attempt.0), text) {
+                    (Some(open), _) => open.parcel.clone(),
+                    (None, Some(text)) => match wire::restored(&text) {
+                        Some(parcel) => Arc::new(parcel),
+                        None => return self.never_sent(attempt),
+                    },
+                    (None, None) => return self.never_sent(attempt),
+                };
+                let until = self.clock.instant(until);
                 let handover = tokio::spawn(async move {
                     let tell = to.clone();
                     let whole = move || drop(tell.send(Message::Input(Input::Written)));
-                    let how = pool.hand_over(addr, &parcel, until, whole).await;
+                    let how = pool.hand_over(addr, &parcel, lease, until, whole).await;
                     let _ = to.send(Message::Input(Input::Handover { attempt, how }));
                 });
                 self.handovers.insert(attempt, handover);
             }
             Effect::Abandon { attempt, addr, id, taken, until } => {
+                if self.ledger.as_mut().is_some_and(|l| l.unsent.remove(&attempt)) {
+                    return self.never_sent(attempt);
+                }
                 let until = self.clock.instant(until);
                 let offering = |h: &JoinHandle<()>| !taken && !h.is_finished();
                 match self.handovers.remove(&attempt).filter(offering) {
@@ -462,8 +580,143 @@
             }
             Effect::FetchList { addr } => drop(tokio::spawn(self.discovery(addr, 0).fetch())),
             Effect::Log(text) => tracing::info!("{text}"),
+            Effect::Acknowledge { note, reply } => {
+                let _ = self.notes.remove(&note).map(|heard| heard.send(reply));
+            }
+            Effect::Record(record) => self.write_down(&record),
+            Effect::Durably { effect, until } => self.durably(*effect, until),
+            Effect::Trim { oldest } => {
+                if let Some(store) = self.ledger.as_ref().and_then(|l| l.store.as_ref()) {
+                    store.trim(oldest);
+                }
+            }
         }
     }
+
+    /// An attempt that was to go out has not.
+    fn never_sent(&self, attempt: AttemptId) {
+        let how = Handover::Ended(Outcome::Moot, None);
+        let _ = self.to.send(Message::Input(Input::Handover { attempt, how }));
+    }
+
+    // ------------------------------------------------------------ the ledger
+
+    fn opened(&mut self, (durability, store): (Durability, Writer)) {
+        let Some(ledger) = &mut self.ledger else { return };
+        (ledger.stage, ledger.store) = (Stage::Open, Some(store));
+        (ledger.given, ledger.durable) = (durability.ledger.last(), durability.ledger.last());
+        let held_back = std::mem::take(&mut ledger.held_back);
+        let figures = durability.ledger.figures();
+        tracing::info!(open = figures.open, kept = figures.kept, "the ledger is open");
+        self.step(Input::Opened(Box::new(durability)));
+        for message in held_back {
+            self.receive(message);
+        }
+    }
+
+    fn write_down(&mut self, record: &Record) {
+        let Some(ledger) = &mut self.ledger else { return };
+        let Some(store) = ledger.store.as_mut().filter(|_| ledger.stage == Stage::Open) else { return };
+        match spanlead_ledger::encode(record) {
+            Ok(bytes) => ledger.given = store.append(bytes.into()),
+            // Without it what follows would be out of its place.
+            Err(error) => {
+                tracing::error!(%error, kind = record.kind(), "a record has no form");
+                let _ = self.to.send(Message::Progress(Progress::Failed));
+            }
+        }
+    }
+
+    /// Does this now if all that was written down is durable; else when it is.
+    fn durably(&mut self, effect: Effect, until: Nanos) {
+        match &mut self.ledger {
+            Some(ledger) if ledger.stage == Stage::Open && ledger.durable < ledger.given => {
+                if let Effect::Send { attempt, .. } = &effect {
+                    ledger.unsent.insert(*attempt);
+                }
+                ledger.waiting.push_back((ledger.given, until, effect));
+            }
+            Some(ledger) if ledger.stage == Stage::Failed && matches!(effect, Effect::Send { .. }) => {
+                if let Effect::Send { attempt, .. } = effect {
+                    self.never_sent(attempt);
+                }
+            }
+            _ => self.perform(effect),
+        }
+    }
+
+    fn progress(&mut self, progress: Progress) {
+        let Some(ledger) = self.ledger.as_mut().filter(|l| l.stage == Stage::Open) else { return };
+        match progress {
+            Progress::Durable { upto, bytes } => {
+                ledger.durable = upto;
+                while let Some(ledger) = &mut self.ledger
+                    && let Some((_, _, effect)) = ledger.waiting.pop_front_if(|(lsn, ..)| *lsn <= upto)
+                {
+                    if let Effect::Send { attempt, .. } = &effect
+                        && !ledger.unsent.remove(attempt)
+                    {
+                        continue;
+                    }
+                    self.perform(effect);
+                }
+                self.step(Input::Stored { bytes });
+            }
+            Progress::Failed => {
+                ledger.stage = Stage::Failed;
+                let waiting = std::mem::take(&mut ledger.waiting);
+                let unsent = std::mem::take(&mut ledger.unsent);
+                tracing::error!("the ledger has failed: new durable jobs are refused from now on");
+                self.step(Input::StoreFailed);
+                // What was not sent must not be, since its lease may not be on disk. Ends and notices are given: every lease
+                // behind them is, so no other process will run these jobs anew.
+                for (.., effect) in waiting {
+                    match effect {
+                        Effect::Send { attempt, .. } if unsent.contains(&attempt) => self.never_sent(attempt),
+                        Effect::Send { .. } => {}
+                        other => self.perform(other),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives up what has waited for the disk for too long: clients are answered in time whatever the disk does.
+    fn too_late(&mut self) {
+        let now = self.clock.now();
+        let Some(ledger) = &mut self.ledger else { return };
+        let (late, waiting): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut ledger.waiting).into_iter().partition(|(_, until, _)| *until <= now);
+        ledger.waiting = waiting;
+        for (.., effect) in late {
+            match effect {
+                Effect::Answer { ticket, .. } => {
+                    self.perform(Effect::Answer { ticket, answer: Answer::Failed, job: None });
+                }
+                Effect::Send { attempt, .. }
+                    if self.ledger.as_mut().is_some_and(|l| l.unsent.remove(&attempt)) =>
+                {
+                    self.never_sent(attempt);
+                }
+                // The worker asks again.
+                Effect::Acknowledge { note, .. } => drop(self.notes.remove(&note)),
+                _ => {}
+            }
+        }
+    }
+
+    /// Leaves the ledger to the successor, when nothing of it is open here any more.
+    fn release_ledger(&mut self) {
+        let Some(ledger) = &mut self.ledger else { return };
+        if ledger.stage == Stage::Open && ledger.waiting.is_empty() && self.core.durable_open() == 0 {
+            ledger.stage = Stage::Released;
+            // Ends it in order, and lets go of the folder.
+            ledger.store = None;
+            self.step(Input::Released);
+            tracing::info!("the ledger is left to the successor");
+        }
+    }
+
     fn discovery(&self, addr: SocketAddr, version: u64) -> Discovery {
         Discovery { addr, version, names: self.names.subscribe(), to: self.to.clone() }
     }
--- a/crates/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -1,10 +1,15 @@
 //! The real scheduler: `oatdock`'s decisions on sockets.
 mod config;
 mod driver;
+mod ledger;
+mod trial;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use config::Config;
+use spanlead_conf::{Conf, Format, Level};
+use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing_subscriber::filter::LevelFilter;
 
 /// The job scheduler of stockholm-members.
 #[derive(Parser)]
@@ -16,18 +21,67 @@
 #[derive(Subcommand)]
 enum Command {
     /// Serve as one scheduler, as the environment and the configuration file say.
-    Serve,
+    Serve(Settings),
     /// Read and check the configuration, say what it means, and end.
-    Check,
+    Check(Settings),
+    /// Try it: starts workers, discovery, clients and one scheduler on this machine, needs no configuration, and ends with a
+    /// table of what came of it.
+    Try(trial::Trial),
+    /// Look at a ledger's folder at rest, or compact it.
+    #[command(subcommand)]
+    Ledger(LedgerCommand),
     /// Print the version.
     Version,
 }
 
+#[derive(Args)]
+struct Settings {
+    /// The operators' own settings.
+    #[arg(long, value_name = "FILE")]
+    conf: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum LedgerCommand {
+    /// Show the jobs in a folder as a table.
+    Show {
+        folder: PathBuf,
+        /// Only those without an end.
+        #[arg(long)]
+        open: bool,
+        /// Only those of this Idempotency-Key.
+        #[arg(long)]
+        key: Option<String>,
+    },
+    /// Read a folder whole and say whether a process could start on it.
+    Verify { folder: PathBuf },
+    /// Write all records as lines of JSON.
+    Export {
+        folder: PathBuf,
+        /// The jobs that the records add up to, instead.
+        #[arg(long)]
+        jobs: bool,
+    },
+    /// Write what is still needed anew and remove the rest.
+    Compact {
+        folder: PathBuf,
+        /// How long ended jobs are kept, as `keep` in the settings.
+        #[arg(long, default_value = "120s", value_parser = humantime::parse_duration)]
+        keep: std::time::Duration,
+    },
+}
+
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     let result = match Cli::parse().command {
-        Command::Serve => serve(),
-        Command::Check => check(),
+        Command::Serve(settings) => serve(&settings),
+        Command::Check(settings) => check(&settings),
+        Command::Try(trial) => trial.run(),
+        Command::Ledger(LedgerCommand::Show { folder, open, key }) => {
+            ledger::show(&folder, open, key.as_deref())
+        }
+        Command::Ledger(LedgerCommand::Verify { folder }) => ledger::verify(&folder),
+        Command::Ledger(LedgerCommand::Export { folder, jobs }) => ledger::export(&folder, jobs),
+        Command::Ledger(LedgerCommand::Compact { folder, keep }) => ledger::compact(&folder, keep),
         Command::Version => {
             println!("spanlead {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -44,13 +98,38 @@
 
 type Failure = Box<dyn std::error::Error>;
 
-fn serve() -> Result<(), Failure> {
+impl Settings {
+    fn read(&self) -> Result<Conf, Failure> {
+        let conf = self.conf.as_deref().map(spanlead_conf::read).transpose();
+        Ok(conf.map_err(|errors| format!("the settings can't be used:\n{errors}"))?.unwrap_or_default())
+    }
+}
+
+/// The log goes to standard error, as the operators want it.
+fn log(log: &spanlead_conf::Log) {
+    let level = match log.level {
+        Level::Error => LevelFilter::ERROR,
+        Level::Warn => LevelFilter::WARN,
+        Level::Info => LevelFilter::INFO,
+        Level::Debug => LevelFilter::DEBUG,
+    };
+    let lines = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false);
+    match log.format {
+        Format::Text => lines.init(),
+        Format::Json => lines.json().init(),
+    }
+}
+
+fn serve(settings: &Settings) -> Result<(), Failure> {
+    let conf = settings.read()?;
+    log(&conf.log);
     let config = Config::from_environment()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(driver::serve(config))
+    runtime.block_on(driver::serve(config, conf))
 }
 
-fn check() -> Result<(), Failure> {
+fn check(settings: &Settings) -> Result<(), Failure> {
+    let conf = settings.read()?;
     let config = Config::from_environment()?;
     let names = &config.deployment.names;
     println!("name       {}", config.name);
@@ -64,5 +143,9 @@
     let shares = config.shares;
     println!("clients    {} connections, {} requests at a time", shares.clients, shares.open);
     println!("to workers {} connections", shares.workers);
+    if let Some(ledger) = conf.ledger {
+        let show = humantime::format_duration;
+        println!("ledger     {}, leases of {}", ledger.folder.display(), show(ledger.lease));
+    }
     Ok(())
 }
--- /dev/null
+++ b/crates/spanlead/src/trial.rs
@@ -0,0 +1,325 @@
+//! `spanlead try`: the scheduler among stand-ins on loopback, with as much trouble as is asked for.
+use clap::Args;
+use comfy_table::{CellAlignment, Table, presets};
+use indicatif::{ProgressBar, ProgressStyle};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use spanlead_standin::check::{Broken, RULES, check};
+use spanlead_standin::{Fleet, FleetPlan, Load, Plan, Record, Scheduler, Summary, What, config};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// How it is tried.
+#[derive(Args, Clone)]
+pub struct Trial {
+    /// Jobs in all.
+    #[arg(long, default_value_t = 600)]
+    jobs: u64,
+    /// Jobs a second.
+    #[arg(long, default_value_t = 120.0)]
+    rate: f64,
+    /// Stand-in workers, of two slots each; two in five are slow.
+    #[arg(long, default_value_t = 12)]
+    workers: usize,
+    /// Clients at a time.
+    #[arg(long, default_value_t = 256)]
+    clients: usize,
+    /// How long jobs run, against the deployment's (0.4 to 5 s).
+    #[arg(long, default_value_t = 0.02)]
+    scale: f64,
+    /// For everything drawn at random; drawn itself if not given, and printed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Without a ledger: what a scheduler is killed with is lost.
+    #[arg(long)]
+    no_ledger: bool,
+    /// The ledger does not wait for the disk.
+    #[arg(long)]
+    no_sync: bool,
+    /// The length of leases.
+    #[arg(long, default_value = "2s", value_parser = humantime::parse_duration)]
+    lease: Duration,
+    /// The share of workers that go by leases.
+    #[arg(long, default_value_t = 1.0)]
+    leases: f64,
+    /// How often the scheduler is killed outright and started again.
+    #[arg(long, default_value_t = 0)]
+    kill_scheduler: u32,
+    /// How often a worker is killed and started again.
+    #[arg(long, default_value_t = 0)]
+    kill_worker: u32,
+    /// How often a worker freezes, vanishes, slows down, drains, cuts connections, answers late, repeats notices or goes on
+    /// after its lease.
+    #[arg(long, default_value_t = 0)]
+    trouble: u32,
+    /// The share of keyed jobs that two clients bring at once.
+    #[arg(long, default_value_t = 0.05)]
+    doubled: f64,
+    /// Only jobs of this class; may be given again.
+    #[arg(long)]
+    only: Vec<String>,
+    /// The scheduler's files are kept here, and all that happened is written to `record.jsonl`.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
+type Failure = Box<dyn std::error::Error>;
+
+/// What came of a trial.
+struct Found {
+    summary: Summary,
+    broken: Vec<Broken>,
+    kills: (u32, u32),
+    /// Time on a CPU that the scheduler processes took.
+    cpu: Duration,
+}
+
+impl Trial {
+    /// Tries it, prints the table, and fails if a rule was broken.
+    pub fn run(&self) -> Result<(), Failure> {
+        let seed = self.seed.unwrap_or_else(|| rand::rng().random_range(0..1_000_000));
+        println!("seed {seed}");
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+        let found = runtime.block_on(self.play(seed));
+        runtime.shutdown_background();
+        let found = found?;
+        self.show(&found);
+        match found.broken.len() {
+            0 => Ok(()),
+            n => Err(format!("{n} times a rule was broken").into()),
+        }
+    }
+
+    fn conf(&self, folder: &Path) -> String {
+        if self.no_ledger {
+            return String::new();
+        }
+        let sync = if self.no_sync { "no" } else { "yes" };
+        let (lease, folder) = (humantime::format_duration(self.lease).to_string(), folder.join("ledger"));
+        let bound = humantime::format_duration(self.lease / 10).to_string();
+        format!(
+            "ledger\n  folder '{}'\n  lease '{lease}'\n  clock-bound '{bound}'\n  keep 60s\n  sync {sync}\n",
+            folder.display()
+        )
+    }
+
+    async fn play(&self, seed: u64) -> Result<Found, Failure> {
+        let scratch = tempfile::tempdir()?;
+        let folder = self.folder.clone().unwrap_or_else(|| scratch.path().to_owned());
+        std::fs::create_dir_all(&folder)?;
+        let record = Record::new();
+        let mut plan = FleetPlan::new(self.workers, self.scale, seed);
+        plan.leases = self.leases;
+        let mut fleet = Fleet::start(plan, record.clone()).await?;
+        let binary = std::env::current_exe()?;
+        let conf = self.conf(&folder);
+        let mut scheduler =
+            Scheduler::new(&binary, &folder, &config(&fleet, seed, 4096), &conf, record.clone())?;
+        fleet.call_back_to(scheduler.addr);
+        scheduler.start().await?;
+
+        let load = Load::new(scheduler.addr, record.clone());
+        let plan = Plan {
+            jobs: self.jobs,
+            rate: self.rate,
+            at_once: self.clients,
+            doubled: self.doubled,
+            only: self.only.clone(),
+            seed,
+        };
+        let bar = ProgressBar::new(self.jobs);
+        let style = ProgressStyle::with_template("{bar:40} {pos}/{len} jobs, {elapsed}, {msg}");
+        bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+        let classes = fleet.classes().to_vec();
+        let mut troubles = Troubles::new(self, seed);
+        let mut cpu = Duration::ZERO;
+        let mut playing = std::pin::pin!(load.play(&plan, &classes));
+        let mut look = tokio::time::interval(Duration::from_millis(100));
+        let summary = loop {
+            tokio::select! {
+                summary = &mut playing => break summary,
+                _ = look.tick() => {
+                    bar.set_position(load.settled());
+                    bar.set_message(troubles.said.clone());
+                }
+                () = sleep_until(troubles.next()) => cpu += troubles.act(&mut fleet, &mut scheduler).await?,
+            }
+        };
+        bar.finish_and_clear();
+        cpu += cpu_of(&scheduler);
+        // What still runs may yet run twice.
+        let until = Instant::now() + Duration::from_secs(5);
+        while Instant::now() < until && !fleet.workers.values().all(spanlead_standin::Worker::idle) {
+            sleep_until(Instant::now() + Duration::from_millis(50)).await;
+        }
+        scheduler.kill().await;
+        let events = record.events();
+        if self.folder.is_some() {
+            let mut out = std::io::BufWriter::new(std::fs::File::create(folder.join("record.jsonl"))?);
+            for event in &events {
+                writeln!(out, "{}", serde_json::to_string(event)?)?;
+            }
+            out.flush()?;
+        }
+        let died = events.iter().filter(|e| matches!(e.what, What::Died { .. })).count() as u32;
+        let kills = (troubles.killed, died);
+        Ok(Found { summary, broken: check(&events, &classes), kills, cpu })
+    }
+
+    fn show(&self, found: &Found) {
+        let mut table = Table::new();
+        table.load_preset(presets::NOTHING);
+        table.set_header([
+            "class",
+            "jobs",
+            "served",
+            "refused",
+            "failed",
+            "no answer",
+            "tried again",
+            "p50 ms",
+            "p99 ms",
+        ]);
+        let mut all = 0;
+        for (class, counts) in &found.summary.classes {
+            let ms = |q| format!("{:.0}", counts.latency.value_at_quantile(q) as f64 / 1000.0);
+            all += counts.jobs;
+            let figures =
+                [counts.jobs, counts.served, counts.refused, counts.failed, counts.unanswered, counts.again];
+            let figures = figures.map(|n| n.to_string());
+            table.add_row([class.clone()].into_iter().chain(figures).chain([ms(0.5), ms(0.99)]));
+        }
+        for column in table.column_iter_mut().skip(1) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+        println!("{table}");
+        let took = found.summary.took.as_secs_f64();
+        let (schedulers, workers) = found.kills;
+        println!(
+            "{all} jobs in {took:.1} s; the scheduler was killed {schedulers} times, workers {workers} times"
+        );
+        let cpu = found.cpu.as_secs_f64();
+        println!("{:.0} microseconds of the scheduler's CPU a job", cpu * 1e6 / all.max(1) as f64);
+        for rule in RULES {
+            let broken: Vec<&Broken> = found.broken.iter().filter(|b| b.rule == rule).collect();
+            match broken.len() {
+                0 => println!("kept     {rule}"),
+                n => println!("BROKEN   {rule}: {n} times"),
+            }
+            broken.iter().take(5).for_each(|b| println!("         {}", b.what));
+        }
+    }
+}
+
+/// What the process has taken of a CPU so far.
+fn cpu_of(scheduler: &Scheduler) -> Duration {
+    let Some(id) = scheduler.id() else { return Duration::ZERO };
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    // Fields 14 and 15 of proc(5)'s stat, counted behind the name, which ends with the last bracket.
+    let fields = text.rsplit(')').next().unwrap_or("").split_whitespace();
+    let ticks: u64 = fields.skip(11).take(2).filter_map(|f| f.parse::<u64>().ok()).sum();
+    Duration::from_millis(ticks * 10)
+}
+
+/// What goes wrong, and when.
+struct Troubles {
+    plan: Vec<(Instant, Trouble)>,
+    rng: SmallRng,
+    killed: u32,
+    said: String,
+}
+
+#[derive(Clone, Debug)]
+enum Trouble {
+    KillScheduler,
+    StartScheduler,
+    KillWorker,
+    Restart(String),
+    Misbehave,
+    Behave(String),
+    Undrain(String),
+}
+
+impl Troubles {
+    fn new(trial: &Trial, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x74_726f_7562_6c65);
+        let begun = Instant::now();
+        let length = trial.jobs as f64 / trial.rate;
+        let mut plan = Vec::new();
+        for (count, trouble) in [
+            (trial.kill_scheduler, Trouble::KillScheduler),
+            (trial.kill_worker, Trouble::KillWorker),
+            (trial.trouble, Trouble::Misbehave),
+        ] {
+            for _ in 0..count {
+                let at = begun + Duration::from_secs_f64(rng.random_range(0.05..1.0) * length);
+                plan.push((at, trouble.clone()));
+            }
+        }
+        let mut troubles = Troubles { plan, rng, killed: 0, said: String::new() };
+        troubles.sort();
+        troubles
+    }
+
+    fn sort(&mut self) {
+        self.plan.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+    }
+
+    fn next(&self) -> Instant {
+        self.plan.last().map_or(Instant::now() + Duration::from_secs(3600), |(at, _)| *at)
+    }
+
+    fn later(&mut self, after: std::ops::Range<u64>, trouble: Trouble) {
+        let at = Instant::now() + Duration::from_millis(self.rng.random_range(after));
+        self.plan.push((at, trouble));
+        self.sort();
+    }
+
+    /// Does what is due; the CPU time of a scheduler that it killed.
+    async fn act(&mut self, fleet: &mut Fleet, scheduler: &mut Scheduler) -> Result<Duration, Failure> {
+        let Some((_, trouble)) = self.plan.pop() else { return Ok(Duration::ZERO) };
+        let running: Vec<String> = fleet.workers.keys().cloned().collect();
+        let worker = running.choose(&mut self.rng).cloned();
+        self.said = format!("{trouble:?}");
+        match (trouble, worker) {
+            (Trouble::KillScheduler, _) if scheduler.id().is_some() => {
+                let cpu = cpu_of(scheduler);
+                scheduler.kill().await;
+                self.killed += 1;
+                self.later(1..200, Trouble::StartScheduler);
+                return Ok(cpu);
+            }
+            (Trouble::StartScheduler, _) => scheduler.start().await?,
+            (Trouble::KillWorker, Some(worker)) if running.len() * 2 > fleet.names().len() => {
+                fleet.kill(&worker);
+                self.later(50..1500, Trouble::Restart(worker));
+            }
+            (Trouble::Restart(worker), _) => fleet.restart(&worker).await?,
+            (Trouble::Misbehave, Some(worker)) => {
+                let how = self.rng.random_range(0..8);
+                if how == 0 {
+                    fleet.drain(&worker, true);
+                    self.later(1000..3000, Trouble::Undrain(worker));
+                    return Ok(Duration::ZERO);
+                }
+                fleet.change(&worker, |b| match how {
+                    1 => b.frozen = true,
+                    2 => b.vanished = true,
+                    3 => b.slow = 6.0,
+                    4 => b.cut_every = 3,
+                    5 => b.late = Duration::from_millis(700),
+                    6 => b.repeat = 3,
+                    _ => (b.heedless, b.vanished) = (true, true),
+                });
+                self.later(500..4000, Trouble::Behave(worker));
+            }
+            (Trouble::Behave(worker), _) => fleet.change(&worker, |b| *b = Default::default()),
+            (Trouble::Undrain(worker), _) => fleet.drain(&worker, false),
+            _ => {}
+        }
+        Ok(Duration::ZERO)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/check.rs
@@ -0,0 +1,159 @@
+//! Reads a record and says which rules were broken.
+use crate::fleet::{Class, Scope};
+use crate::record::{Event, What};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt;
+use std::time::Duration;
+
+/// How long after being told of a drain a send is still tolerated, and the platform's tolerance for sockets.
+const DRAIN: Duration = Duration::from_millis(750 + 50);
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    pub rule: Rule,
+    pub what: String,
+}
+
+/// The rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Exactly one final answer for each request that a running scheduler took, in time.
+    OneAnswer,
+    /// Each job has a final answer before its client gives up, whatever was killed in between.
+    Settled,
+    /// What must never run twice does not; what is dropped as a repeat is repeated only where that is so.
+    OneRun,
+    /// Never two attempts of a request out at once.
+    OneAttempt,
+    /// A job's result was made for it.
+    OwnResult,
+    /// Nothing new to a worker 750 ms after the scheduler was told that it drains.
+    Drain,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Rule::OneAnswer => "one final answer, in time",
+            Rule::Settled => "an answer before the client gives up",
+            Rule::OneRun => "no second run",
+            Rule::OneAttempt => "never two attempts at once",
+            Rule::OwnResult => "each job its own result",
+            Rule::Drain => "nothing to draining workers",
+        })
+    }
+}
+
+/// All rules, for a table.
+pub const RULES: [Rule; 6] =
+    [Rule::OneAnswer, Rule::Settled, Rule::OneRun, Rule::OneAttempt, Rule::OwnResult, Rule::Drain];
+
+struct Asked {
+    job: u64,
+    key: Option<String>,
+    due: Duration,
+    ends: u32,
+    /// No scheduler ran, or it was killed since.
+    excused: bool,
+}
+
+/// Reads the record of a load on these classes. A request that is open when a scheduler is killed is owed nothing; its
+/// job still is.
+pub fn check(events: &[Event], classes: &[Class]) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let mut bad = |rule, what: String| broken.push(Broken { rule, what });
+    let scope: HashMap<&str, Scope> = classes.iter().map(|c| (c.name, c.scope)).collect();
+    let mut asked: HashMap<&str, Asked> = HashMap::new();
+    let mut settled: BTreeMap<u64, bool> = BTreeMap::new();
+    let mut began: HashMap<(&str, &str), Vec<(&str, &str)>> = HashMap::new();
+    let mut ran: HashMap<(&str, &str), u32> = HashMap::new();
+    let mut out: HashMap<&str, &str> = HashMap::new();
+    let mut draining: HashMap<&str, Duration> = HashMap::new();
+    let mut down = false;
+    for Event { at, what } in events {
+        match what {
+            What::Asked { request, job, key, due, .. } => {
+                let (job, key) = (*job, key.clone());
+                asked.insert(request, Asked { job, key, due: *due, ends: 0, excused: down });
+            }
+            What::Answered { request, status, body } => {
+                let Some(a) = asked.get_mut(request.as_str()) else {
+                    bad(Rule::OneAnswer, format!("{request} was answered and never asked"));
+                    continue;
+                };
+                a.ends += 1;
+                if a.ends > 1 {
+                    bad(Rule::OneAnswer, format!("{request} was answered {} times", a.ends));
+                }
+                if *at > a.due + Duration::from_millis(50) {
+                    bad(Rule::OneAnswer, format!("{request} was answered {:?} late", *at - a.due));
+                }
+                let mine = match &a.key {
+                    Some(key) => body.split(' ').next() == Some(key),
+                    None => body.contains(&format!("-{} by ", a.job)),
+                };
+                if *status == 200 && !mine {
+                    bad(Rule::OwnResult, format!("{request} of job {} was answered `{body}`", a.job));
+                }
+            }
+            What::Broke { request } if asked.get(request.as_str()).is_none_or(|a| !a.excused) => {
+                bad(Rule::OneAnswer, format!("{request} lost its connection to a running scheduler"));
+            }
+            What::Impatient { request } if asked.get(request.as_str()).is_none_or(|a| !a.excused) => {
+                bad(Rule::OneAnswer, format!("{request} had no answer in time"));
+            }
+            What::Settled { job, answered } => {
+                settled.entry(*job).and_modify(|a| *a &= answered).or_insert(*answered);
+            }
+            What::Received { request, worker, .. } => {
+                if let Some(other) = out.insert(request, worker) {
+                    bad(Rule::OneAttempt, format!("{request} went to {worker} while {other} had it"));
+                }
+                if let Some(told) = draining.get(worker.as_str()).filter(|told| *at > **told + DRAIN) {
+                    bad(Rule::Drain, format!("{request} went to {worker} {:?} after its drain", *at - *told));
+                }
+            }
+            What::Over { request, worker, .. } if out.get(request.as_str()) == Some(&worker.as_str()) => {
+                out.remove(request.as_str());
+            }
+            What::Began { request, key: Some(key), class, group, .. } => {
+                began.entry((class, key)).or_default().push((group, request));
+            }
+            What::Ran { key: Some(key), class, .. } => *ran.entry((class, key)).or_default() += 1,
+            What::Told { worker } => {
+                draining.entry(worker).or_insert(*at);
+            }
+            What::Lives { worker } => {
+                draining.remove(worker.as_str());
+            }
+            What::Killed => {
+                down = true;
+                asked.values_mut().filter(|a| a.ends == 0).for_each(|a| a.excused = true);
+            }
+            What::Serving => down = false,
+            _ => {}
+        }
+    }
+    for (job, _) in settled.iter().filter(|(_, answered)| !**answered) {
+        bad(Rule::Settled, format!("job {job} had no final answer"));
+    }
+    for ((class, key), runs) in began {
+        let groups: HashSet<&str> = runs.iter().map(|(group, _)| *group).collect();
+        match scope.get(class) {
+            Some(Scope::Never) if runs.len() > 1 => {
+                bad(Rule::OneRun, format!("{class} {key} began {runs:?}"))
+            }
+            Some(Scope::Cell | Scope::Zone) if groups.len() > 1 => {
+                bad(Rule::OneRun, format!("{class} {key} began where no one drops its repeats: {runs:?}"));
+            }
+            _ => {}
+        }
+    }
+    for ((class, key), times) in ran {
+        if times > 1 && scope.get(class) != Some(&Scope::Safe) {
+            bad(Rule::OneRun, format!("{class} {key} ran {times} times"));
+        }
+    }
+    broken
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,22 @@
+//! A platform to try the scheduler on, as a library of parts: [`Discovery`], [`Worker`]s of two speeds in cells and zones,
+//! clients with patience and repeats ([`Load`]), the scheduler as a process ([`Scheduler`]), all on loopback addresses,
+//! and faults that are put in from outside: kill, vanish, freeze, slow, cut a connection, answer late, repeat notices.
+//!
+//! Everything that happens goes into one [`Record`], by one clock; [`check`] reads it and says which rules were broken. What
+//! is drawn at random comes from a seed.
+#![allow(missing_docs, reason = "fields and variants that say what they are need no second saying")]
+pub mod check;
+mod client;
+mod discovery;
+mod fleet;
+mod http;
+mod process;
+mod record;
+mod worker;
+
+pub use client::{Classes, Job, Load, Outcome, Plan, Summary};
+pub use discovery::{Discovery, Listed};
+pub use fleet::{Class, Fleet, FleetPlan, Scope, classes, config};
+pub use process::Scheduler;
+pub use record::{Event, Record, What};
+pub use worker::{Behaviour, Memory, Worker, WorkerPlan};
--- /dev/null
+++ b/crates/standin/tests/check.rs
@@ -0,0 +1,97 @@
+//! The checker against records made by hand: each breaks one rule, or none.
+use spanlead_standin::check::{Rule, check};
+use spanlead_standin::{Event, What, classes};
+use std::time::Duration;
+
+fn ms(at: u64) -> Duration {
+    Duration::from_millis(at)
+}
+
+fn asked(request: &str, job: u64, class: &str) -> What {
+    let key = (class != "status-check").then(|| format!("key-{job}"));
+    What::Asked { request: request.into(), job, class: class.into(), owner: "o".into(), key, due: ms(5000) }
+}
+
+fn answered(request: &str, job: u64) -> What {
+    What::Answered { request: request.into(), status: 200, body: format!("key-{job} {request} by w00") }
+}
+
+fn began(request: &str, class: &str, key: &str, group: &str) -> What {
+    let (request, class, group) = (request.into(), class.into(), group.into());
+    What::Began { request, worker: "w00".into(), key: Some(key.into()), class, group }
+}
+
+fn ran(request: &str, class: &str, key: &str) -> What {
+    let (request, class) = (request.into(), class.into());
+    What::Ran { request, worker: "w00".into(), key: Some(key.into()), class, group: "g".into() }
+}
+
+fn received(request: &str, worker: &str) -> What {
+    What::Received { request: request.into(), worker: worker.into(), token: None }
+}
+
+fn over(request: &str, worker: &str) -> What {
+    What::Over { request: request.into(), worker: worker.into(), why: "done" }
+}
+
+fn broken(happened: Vec<(u64, What)>) -> Vec<Rule> {
+    let events: Vec<Event> = happened.into_iter().map(|(at, what)| Event { at: ms(at), what }).collect();
+    check(&events, &classes(1.0)).into_iter().map(|b| b.rule).collect()
+}
+
+#[test]
+fn a_good_record_breaks_nothing() {
+    let class = "new-membership";
+    let good = vec![
+        (0, asked("r1", 1, class)),
+        (1, received("r1", "w00")),
+        (2, began("r1", class, "key-1", "w00")),
+        (3, What::Killed),
+        (4, What::Broke { request: "r1".into() }),
+        (9, asked("r2", 1, class)),
+        (10, ran("r1", class, "key-1")),
+        (11, over("r1", "w00")),
+        (12, answered("r2", 1)),
+        (13, What::Settled { job: 1, answered: true }),
+    ];
+    assert_eq!(broken(good), []);
+}
+
+// Guards the checker: a check that can't fail shows nothing.
+#[test]
+fn each_rule_is_seen_to_break() {
+    let (never, cell) = ("new-membership", "guest-visit");
+    let cases = [
+        (Rule::OneAnswer, vec![(0, asked("r1", 1, never)), (1, answered("r1", 1)), (2, answered("r1", 1))]),
+        (Rule::OneAnswer, vec![(0, asked("r1", 1, never)), (5051, answered("r1", 1))]),
+        (Rule::OneAnswer, vec![(0, asked("r1", 1, never)), (1, What::Broke { request: "r1".into() })]),
+        (Rule::OneAnswer, vec![(0, asked("r1", 1, never)), (6000, What::Impatient { request: "r1".into() })]),
+        (
+            Rule::OneAnswer,
+            vec![
+                (3, What::Killed),
+                (4, What::Serving),
+                (10, asked("r1", 1, never)),
+                (11, What::Broke { request: "r1".into() }),
+            ],
+        ),
+        (Rule::Settled, vec![(0, What::Settled { job: 1, answered: false })]),
+        (Rule::OneRun, vec![(0, began("r1", never, "k", "w00")), (9, began("r2", never, "k", "w00"))]),
+        (Rule::OneRun, vec![(0, began("r1", cell, "k", "cell 0")), (9, began("r1", cell, "k", "cell 1"))]),
+        (Rule::OneRun, vec![(0, ran("r1", cell, "k")), (9, ran("r2", cell, "k"))]),
+        (Rule::OneAttempt, vec![(0, received("r1", "w00")), (1, received("r1", "w01"))]),
+        (Rule::OwnResult, vec![(0, asked("r1", 1, never)), (1, answered("r1", 2))]),
+        (Rule::Drain, vec![(0, What::Told { worker: "w00".into() }), (801, received("r1", "w00"))]),
+    ];
+    for (rule, record) in cases {
+        assert_eq!(broken(record.clone()), [rule], "{record:?}");
+    }
+    // Within its bounds none of these is broken.
+    assert_eq!(broken(vec![(0, What::Told { worker: "w00".into() }), (799, received("r1", "w00"))]), []);
+    assert_eq!(
+        broken(vec![(0, began("r1", cell, "k", "cell 0")), (9, began("r1", cell, "k", "cell 0"))]),
+        []
+    );
+    let again = vec![(0, received("r1", "w00")), (1, over("r1", "w00")), (2, received("r1", "w01"))];
+    assert_eq!(broken(again), []);
+}
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -431,11 +431,11 @@
         Ok(())
     }
 
-    /// Removes the segments that hold nothing from record `oldest` on.
+    /// Removes the segments that hold nothing from record `oldest` on; tells whether there were any.
     ///
     /// # Errors
     /// The system's; what could not be removed is tried again.
-    pub fn trim(&mut self, oldest: u64) -> io::Result<()> {
+    pub fn trim(&mut self, oldest: u64) -> io::Result<bool> {
         let mut removed = false;
         while let Some((first, _)) = self.sealed.first() {
             let next = self.sealed.get(1).map(|s| s.0).or(self.current.as_ref().map(|c| c.first));
@@ -448,7 +448,7 @@
             self.sealed.remove(0);
             removed = true;
         }
-        if removed { self.folder.sync() } else { Ok(()) }
+        Ok(removed)
     }
 
     /// Ends the log in order.
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -148,7 +148,7 @@
             }
         }
         // What can't be removed now is tried with the next; space that runs out shows at an append.
-        let trimmed = trim.is_some_and(|oldest| log.trim(oldest).is_ok());
+        let trimmed = trim.is_some_and(|oldest| log.trim(oldest).unwrap_or(false));
         if !group.is_empty() || trimmed {
             tell(Progress::Durable { upto: log.next() - 1, bytes: log.bytes() });
         }
