--- a/crates/conf/tests/conf.rs
+++ b/crates/conf/tests/conf.rs
@@ -1,6 +1,7 @@
 //! What operators write, and what they are told.
 use insta::assert_snapshot;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use spanlead_conf::{Conf, Durable, Format, Level, parse};
 use std::time::Duration;
 
@@ -59,7 +60,20 @@
     ");
 }
 
+/// Cases drawn from a seed that is printed and the same each time, unless `SEED` gives another.
+fn drawn(cases: u32) -> ProptestConfig {
+    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    println!("SEED={seed}");
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(drawn(256))]
     // Guards against input nobody thought of: it is turned down in words or taken, never a panic, and each message
     // names a line that the file has.
     #[test]
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -1,5 +1,6 @@
 //! The ledger's states: what fits, what a repeat finds, and that what is read back stands where it stood.
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use spanlead_ledger::*;
 use std::sync::Arc;
 
@@ -245,8 +246,20 @@
     format!("{:?} {:?} {:?} {:?}", ledger.all(), ledger.figures(), ledger.next_expiry(), ledger.next_token())
 }
 
+/// Cases drawn from a seed that is printed and the same each time, unless `SEED` gives another.
+fn drawn(cases: u32) -> ProptestConfig {
+    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    println!("SEED={seed}");
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(drawn(1000))]
     // Guards recovery: from any point on, what was carried forward and what came after add up to the same state as all of
     // it did; the older part is needed no more.
     #[test]
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -129,8 +129,9 @@
                 let why = format!("it begins with record {first}, and {} should come", next.unwrap_or(0));
                 return Err(damaged(0, why));
             }
-            if last && bytes.len() < HEAD && !bytes.is_empty() || bytes.is_empty() && last {
-                // The process died while it made the file: nothing was ever in it.
+            if last && bytes.len() <= HEAD && !whole_head(&bytes) {
+                // The machine stopped while the file was made. Its head is synced before anything follows it, so nothing
+                // was ever in it.
                 opened.torn = Some((name.clone(), 0, bytes.len() as u64));
                 break;
             }
@@ -169,8 +170,7 @@
     if &bytes[..8] != MAGIC {
         return Err(damaged(0, "it does not begin as a segment does"));
     }
-    let crc = crc32fast::hash(&bytes[..HEAD - 4]);
-    if crc.to_le_bytes() != bytes[HEAD - 4..HEAD] {
+    if !whole_head(bytes) {
         return Err(damaged(8, "the head's checksum does not match"));
     }
     let version = u32::from_le_bytes(array(&bytes[8..12]));
@@ -209,6 +209,10 @@
     Ok(parsed)
 }
 
+fn whole_head(bytes: &[u8]) -> bool {
+    bytes.len() >= HEAD && crc32fast::hash(&bytes[..HEAD - 4]).to_le_bytes() == bytes[HEAD - 4..HEAD]
+}
+
 fn array<const N: usize>(bytes: &[u8]) -> [u8; N] {
     std::array::from_fn(|i| bytes[i])
 }
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -1,6 +1,7 @@
 //! The log on a disk that fails: whatever was told durable comes back, and what can't be trusted is said.
 use bytes::Bytes;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use spanlead_store::sim::SimFolder;
 use spanlead_store::{Disk, Folder, Log, OpenError, Opened, Options, Progress, Reader, Writer};
 use std::sync::mpsc::channel;
@@ -185,8 +186,20 @@
     }
 }
 
+/// Cases drawn from a seed that is printed and the same each time, unless `SEED` gives another.
+fn drawn(cases: u32) -> ProptestConfig {
+    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    println!("SEED={seed}");
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(drawn(2000))]
     // Guards the promise of durability: whatever frames are written and wherever the machine stops, again and again,
     // all that an append returned for comes back, in order, and nothing that was never written.
     #[test]
