--- a/crates/core/src/durable.rs
+++ b/crates/core/src/durable.rs
@@ -423,7 +423,8 @@
     ) -> Option<Nanos> {
         token?;
         let (job, token) = self.leased(attempt)?;
-        let d = self.durable.as_ref()?;
+        // What can't be written down may not be told: another process would believe the lease over before its worker does.
+        let d = self.durable.as_ref().filter(|d| !d.failed)?;
         let length = d.lease;
         let lease = d.ledger.job(job)?.lease()?;
         let (told, aware) = (lease.until, lease.aware);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,10 +3,12 @@
 //! asks for as [`Effect`]s.
 #![allow(missing_docs, reason = "fields and variants that say what they are need no second saying")]
 mod durable;
+mod gate;
 
 use bytes::Bytes;
 pub use durable::{Durability, LedgerFigures};
 use durable::{Durable, Known};
+pub use gate::{Gate, Passage};
 use oatdock::{
     Action, Dispatcher, Entry, Event, ListScope, Nanos, Note, Outcome, Report, RequestId, Settings,
     SettingsError, Tried, WorkerId, WorkerState,
@@ -527,6 +529,16 @@
         self.by_id.contains_key(id) || self.durable.as_ref().is_some_and(|d| d.has_end(id))
     }
 
+    /// The id that workers know this open request by.
+    pub fn id_of(&self, ticket: RequestId) -> Option<Arc<str>> {
+        self.requests.get(&ticket).map(|r| r.id.clone())
+    }
+
+    /// Whether there is a ledger that can't be written to any more.
+    pub fn durable_failed(&self) -> bool {
+        self.durable.as_ref().is_some_and(|d| d.failed)
+    }
+
     /// How many open requests the ledger holds.
     pub fn durable_open(&self) -> usize {
         self.requests.values().filter(|r| r.durable.is_some()).count()
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -7,7 +7,9 @@
 use oatdock::{ListScope, RequestId};
 use settings::{Deployment, Names, Reports};
 use spanlead_conf as conf;
-use spanlead_core::{Answer, AttemptId, Core, Durability, Effect, Handover, Input, Reply, Tale};
+use spanlead_core::{
+    Answer, AttemptId, Core, Durability, Effect, Gate, Handover, Input, Passage, Reply, Tale,
+};
 use spanlead_ledger::Record;
 use spanlead_net::clients::{self, Arrival, Front, Line};
 use spanlead_net::discovery::Discovery;
@@ -18,7 +20,7 @@
 use spanlead_net::workers::Pool;
 use spanlead_net::{Clock, Message};
 use spanlead_store::{Progress, Writer};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -96,13 +98,7 @@
 struct Ledger {
     stage: Stage,
     store: Option<Writer>,
-    /// The last record that was given to the store, and the last that is durable.
-    given: u64,
-    durable: u64,
-    /// Effects that wait for the record of that number, until that time at the latest.
-    waiting: VecDeque<(u64, Nanos, Effect)>,
-    /// Attempts among them that are still wanted.
-    unsent: HashSet<AttemptId>,
+    gate: Gate,
     /// What came before the ledger was open.
     held_back: Vec<Message>,
 }
@@ -159,10 +155,7 @@
     let ledger = marks.then(|| Ledger {
         stage: Stage::Opening,
         store: None,
-        given: 0,
-        durable: 0,
-        waiting: VecDeque::new(),
-        unsent: HashSet::new(),
+        gate: Gate::default(),
         held_back: Vec::new(),
     });
     let mut driver = Driver {
@@ -249,7 +242,7 @@
                 _ = signals.interrupt.recv() => self.stop(),
                 _ = signals.hang_up.recv() => self.reload(),
                 _ = sweep.tick() => self.sweep(),
-                _ = stall.tick(), if self.ledger.as_ref().is_some_and(|l| !l.waiting.is_empty()) => self.too_late(),
+                _ = stall.tick(), if self.ledger.as_ref().is_some_and(|l| !l.gate.is_empty()) => self.too_late(),
                 () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
                 message = inbox.recv() => if let Some(message) = message { self.receive(message) },
             }
@@ -541,7 +534,7 @@
                 self.handovers.insert(attempt, handover);
             }
             Effect::Abandon { attempt, addr, id, taken, until } => {
-                if self.ledger.as_mut().is_some_and(|l| l.unsent.remove(&attempt)) {
+                if self.ledger.as_mut().is_some_and(|l| l.gate.call_off(attempt)) {
                     return self.never_sent(attempt);
                 }
                 let until = self.clock.instant(until);
@@ -604,7 +597,7 @@
     fn opened(&mut self, (durability, store): (Durability, Writer)) {
         let Some(ledger) = &mut self.ledger else { return };
         (ledger.stage, ledger.store) = (Stage::Open, Some(store));
-        (ledger.given, ledger.durable) = (durability.ledger.last(), durability.ledger.last());
+        ledger.gate.open(durability.ledger.last());
         let held_back = std::mem::take(&mut ledger.held_back);
         let figures = durability.ledger.figures();
         tracing::info!(open = figures.open, kept = figures.kept, "the ledger is open");
@@ -618,7 +611,7 @@
         let Some(ledger) = &mut self.ledger else { return };
         let Some(store) = ledger.store.as_mut().filter(|_| ledger.stage == Stage::Open) else { return };
         match spanlead_ledger::encode(record) {
-            Ok(bytes) => ledger.given = store.append(bytes.into()),
+            Ok(bytes) => ledger.gate.record(store.append(bytes.into())),
             // Without it what follows would be out of its place.
             Err(error) => {
                 tracing::error!(%error, kind = record.kind(), "a record has no form");
@@ -629,19 +622,19 @@
 
     /// Does this now if all that was written down is durable; else when it is.
     fn durably(&mut self, effect: Effect, until: Nanos) {
-        match &mut self.ledger {
-            Some(ledger) if ledger.stage == Stage::Open && ledger.durable < ledger.given => {
-                if let Effect::Send { attempt, .. } = &effect {
-                    ledger.unsent.insert(*attempt);
-                }
-                ledger.waiting.push_back((ledger.given, until, effect));
-            }
-            Some(ledger) if ledger.stage == Stage::Failed && matches!(effect, Effect::Send { .. }) => {
-                if let Effect::Send { attempt, .. } = effect {
-                    self.never_sent(attempt);
-                }
-            }
-            _ => self.perform(effect),
+        let passed = match &mut self.ledger {
+            Some(ledger) => ledger.gate.pass(effect, until),
+            None => Some(Passage::Do(effect)),
+        };
+        passed.into_iter().for_each(|passage| self.go_through(passage));
+    }
+
+    fn go_through(&mut self, passage: Passage) {
+        match passage {
+            Passage::Do(effect) => self.perform(effect),
+            Passage::Unsent(attempt) => self.never_sent(attempt),
+            // The worker asks again.
+            Passage::Unheard(note) => drop(self.notes.remove(&note)),
         }
     }
 
@@ -649,34 +642,16 @@
         let Some(ledger) = self.ledger.as_mut().filter(|l| l.stage == Stage::Open) else { return };
         match progress {
             Progress::Durable { upto, bytes } => {
-                ledger.durable = upto;
-                while let Some(ledger) = &mut self.ledger
-                    && let Some((_, _, effect)) = ledger.waiting.pop_front_if(|(lsn, ..)| *lsn <= upto)
-                {
-                    if let Effect::Send { attempt, .. } = &effect
-                        && !ledger.unsent.remove(attempt)
-                    {
-                        continue;
-                    }
-                    self.perform(effect);
-                }
+                let passed = ledger.gate.durable(upto);
+                passed.into_iter().for_each(|passage| self.go_through(passage));
                 self.step(Input::Stored { bytes });
             }
             Progress::Failed => {
                 ledger.stage = Stage::Failed;
-                let waiting = std::mem::take(&mut ledger.waiting);
-                let unsent = std::mem::take(&mut ledger.unsent);
                 tracing::error!("the ledger has failed: new durable jobs are refused from now on");
+                let passed = ledger.gate.fail();
                 self.step(Input::StoreFailed);
-                // What was not sent must not be, since its lease may not be on disk. Ends and notices are given: every lease
-                // behind them is, so no other process will run these jobs anew.
-                for (.., effect) in waiting {
-                    match effect {
-                        Effect::Send { attempt, .. } if unsent.contains(&attempt) => self.never_sent(attempt),
-                        Effect::Send { .. } => {}
-                        other => self.perform(other),
-                    }
-                }
+                passed.into_iter().for_each(|passage| self.go_through(passage));
             }
         }
     }
@@ -684,31 +659,14 @@
     /// Gives up what has waited for the disk for too long: clients are answered in time whatever the disk does.
     fn too_late(&mut self) {
         let now = self.clock.now();
-        let Some(ledger) = &mut self.ledger else { return };
-        let (late, waiting): (VecDeque<_>, VecDeque<_>) =
-            std::mem::take(&mut ledger.waiting).into_iter().partition(|(_, until, _)| *until <= now);
-        ledger.waiting = waiting;
-        for (.., effect) in late {
-            match effect {
-                Effect::Answer { ticket, .. } => {
-                    self.perform(Effect::Answer { ticket, answer: Answer::Failed, job: None });
-                }
-                Effect::Send { attempt, .. }
-                    if self.ledger.as_mut().is_some_and(|l| l.unsent.remove(&attempt)) =>
-                {
-                    self.never_sent(attempt);
-                }
-                // The worker asks again.
-                Effect::Acknowledge { note, .. } => drop(self.notes.remove(&note)),
-                _ => {}
-            }
-        }
+        let late = self.ledger.as_mut().map(|l| l.gate.late(now));
+        late.into_iter().flatten().for_each(|passage| self.go_through(passage));
     }
 
     /// Leaves the ledger to the successor, when nothing of it is open here any more.
     fn release_ledger(&mut self) {
         let Some(ledger) = &mut self.ledger else { return };
-        if ledger.stage == Stage::Open && ledger.waiting.is_empty() && self.core.durable_open() == 0 {
+        if ledger.stage == Stage::Open && ledger.gate.is_empty() && self.core.durable_open() == 0 {
             ledger.stage = Stage::Released;
             // Ends it in order, and lets go of the folder.
             ledger.store = None;
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -331,8 +331,8 @@
         Ok((log, opened))
     }
 
-    /// Removes what was torn, and writes a tail that its process didn't close anew: what was read of it may be in the
-    /// system's memory only, after a sync that failed.
+    /// Removes what was torn, and writes the last segment anew: after a sync that failed, what was read of it may be in the
+    /// system's memory only, its end in order as well.
     fn mend(&self, segments: &[Segment], opened: &Opened) -> Result<(), OpenError> {
         let failed = |name: &str| {
             let file = name.to_owned();
@@ -341,7 +341,7 @@
         for name in self.folder.list().map_err(failed("."))?.iter().filter(|n| n.ends_with(".tmp")) {
             self.folder.remove(name).map_err(failed(name))?;
         }
-        if let Some(last) = segments.last().filter(|s| !s.closed) {
+        if let Some(last) = segments.last() {
             let bytes = self.folder.read(&last.name).map_err(failed(&last.name))?;
             let scratch = format!("{}.tmp", last.name);
             let write = || {
--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -55,6 +55,12 @@
         self.state().good_syncs = Some(good);
     }
 
+    /// The disk is good and has room again. What a failed sync left behind is still only in memory.
+    pub fn mend(&self) {
+        let mut state = self.state();
+        (state.good_syncs, state.room) = (None, None);
+    }
+
     /// Lets so many more bytes fit.
     pub fn fill_after(&self, room: u64) {
         self.state().room = Some(room);
