--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -68,6 +68,8 @@
     /// Whether what was written is waited for until the disk has it. Without, a crash of the process loses nothing,
     /// one of the machine may.
     pub sync: bool,
+    /// How long a commit waits for more records to go with it.
+    pub gather: Duration,
     /// Which jobs are kept.
     pub durable: Durable,
     /// How long a worker may hold a job without being heard of.
@@ -210,6 +212,7 @@
         let sync = fields.one("sync", |w| w.choice(&[("yes", true), ("no", false)]));
         let durable =
             fields.one("durable", |w| w.choice(&[("keyed", Durable::Keyed), ("all", Durable::All)]));
+        let gather = fields.one("gather", span(Duration::ZERO, ms(100))).unwrap_or(ms(2));
         let lease = fields.one("lease", span(s(1), s(3600))).unwrap_or(s(10));
         let clock_bound = fields.one("clock-bound", span(ms(1), s(60))).unwrap_or(ms(250));
         if clock_bound >= lease {
@@ -225,6 +228,7 @@
         Some(Ledger {
             folder: folder?,
             sync: sync.unwrap_or(true),
+            gather,
             durable: durable.unwrap_or_default(),
             lease,
             clock_bound,
--- /dev/null
+++ b/crates/core/examples/recovery.rs
@@ -0,0 +1,135 @@
+//! What a start costs: a log of so many records, a tenth as many open jobs among them, read back and taken into the
+//! reducer. `cargo run --release -p spanlead-core --example recovery`
+use oatdock::{Class, Effect, Nanos, Scope, Settings, WorkerState};
+use settings::Names;
+use spanlead_core::{Core, Durability, Host, Input};
+use spanlead_ledger::*;
+use spanlead_store::{Disk, Log, Options};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+const SEC: Nanos = 1_000_000_000;
+const OPTIONS: Options = Options { segment: 16 << 20, sync: false };
+
+fn place(i: u64) -> Place {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 9));
+    Place { worker: format!("w{:02}", i % 20).into(), addr, zone: "kista".into(), cell: (i % 5) as u32 }
+}
+
+/// The records of one job, and whether it stays open.
+fn job(no: u64, open: bool) -> Vec<Record> {
+    let (job, token) = (JobNo(no), Token(no));
+    let taken = Taken {
+        job,
+        id: format!("9b1f03aa5c7e2d41-{no}").into(),
+        key: Some(format!("5c0f6e1a2b3d4c59a8b7c6d5e4f30211-{no}").into()),
+        class: "guest-visit".into(),
+        owner: "kraftverket".into(),
+        fingerprint: [3; 16],
+        repeats: Repeats::Dropped(25 * SEC),
+        at: 1000 * SEC,
+        due: 1015 * SEC,
+        slots: 1.0,
+        memory: 0.0,
+        subject: Some(no),
+        text: vec![b'x'; 250].into(),
+        before: Vec::new(),
+    };
+    let leased = Record::Leased { job, token, place: place(no), sent: 1000 * SEC, until: 1011 * SEC };
+    let mut records = vec![
+        Record::Taken(taken),
+        leased,
+        Record::Held { job, token, aware: true },
+        Record::Started { job, token },
+    ];
+    if !open {
+        let end = End::Served("y".repeat(100).into());
+        records.extend([Record::Ended { job, at: 1001 * SEC, end }, Record::Answered { job }]);
+    }
+    records
+}
+
+fn memory_mb(field: &str) -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with(field)).unwrap_or("");
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) / 1024
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("records   open jobs  disk MB  bytes/job  read ms  into the reducer ms  memory MB (most)");
+    for n in [10_000u64, 100_000, 1_000_000] {
+        let folder = tempfile::tempdir()?;
+        let open = n / 10;
+        let anchor = Anchor { boot: "b".into(), up: 0, clock: 1000 * SEC };
+        let (mut written, mut jobs) = (0, 0);
+        {
+            let disk = Disk::take(folder.path())?.ok_or("held")?;
+            let (mut log, _) = Log::open(Box::new(disk), OPTIONS, |_, _| Ok(()))?;
+            let session = Record::Session(Session { anchor: anchor.clone(), next_job: 1, next_token: 1 });
+            let mut group: Vec<Vec<u8>> = vec![encode(&session)?];
+            while written < n {
+                jobs += 1;
+                // Open and ended ones in turn, until there are enough open ones.
+                let records = job(jobs, jobs <= open);
+                written += records.len() as u64;
+                for record in &records {
+                    group.push(encode(record)?);
+                }
+                if group.len() > 512 {
+                    log.append(&group)?;
+                    group.clear();
+                }
+            }
+            log.append(&group)?;
+            log.close()?;
+        }
+        let begun = Instant::now();
+        let mut ledger = Ledger::new(Limits { keep: 120 * SEC, jobs: 10_000_000 });
+        let disk = Disk::take(folder.path())?.ok_or("held")?;
+        let (log, opened) = Log::open(Box::new(disk), OPTIONS, |lsn, bytes| {
+            let record = decode(bytes).map_err(|e| e.to_string())?;
+            ledger.replay(lsn, &record).map_err(|e| e.to_string())
+        })?;
+        ledger.seek(log.next());
+        let read = begun.elapsed();
+
+        let class = Class {
+            effect: Effect::Keyed { scope: Scope::Cell, ttl: 25 * SEC },
+            ..Class::new(SEC, 15 * SEC)
+        };
+        let names = Names {
+            classes: vec!["guest-visit".into()],
+            tenants: vec!["kraftverket".into()],
+            zones: vec!["kista".into()],
+            ..Names::default()
+        };
+        let settings = Settings { classes: vec![class], ..Settings::default() };
+        let mut core = Core::new(settings, Arc::new(names), 1, 1 << 20, ([127, 0, 0, 1], 9).into(), true)?;
+        let (now, mut effects) = (1002 * SEC, Vec::new());
+        let host = |i| {
+            let Place { worker: name, addr, cell, .. } = place(i);
+            Host { name, addr, state: WorkerState::Ready, started: None, kind: 0, zone: 0, cell, weight: 1.0 }
+        };
+        let hosts = (0..20).map(host).collect();
+        core.step(now, Input::List { scope: oatdock::ListScope::Full, version: 1, hosts }, &mut effects);
+        let begun = Instant::now();
+        let anchor = Anchor { up: 2 * SEC, clock: now, ..anchor };
+        let (lease, clock_bound, disk, segment) = (10 * SEC, SEC / 4, 1 << 40, 16 << 20);
+        let durability = Durability { ledger, anchor, all: false, lease, clock_bound, disk, segment };
+        core.step(now, Input::Opened(Box::new(durability)), &mut effects);
+        let taken = begun.elapsed();
+        assert_eq!(core.durable_open() as u64, open);
+        println!(
+            "{:>8}  {:>9}  {:>7}  {:>9}  {:>7}  {:>19}  {:>9}",
+            opened.records,
+            open,
+            opened.bytes >> 20,
+            opened.bytes / jobs,
+            read.as_millis(),
+            taken.as_millis(),
+            memory_mb("VmHWM"),
+        );
+    }
+    Ok(())
+}
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -215,6 +215,12 @@
         }
     }
 
+    /// Whether nothing that is seen waits for it: a crash that loses it costs a recovered job time, or a figure.
+    #[must_use]
+    pub fn can_wait(&self) -> bool {
+        matches!(self, Record::Held { .. } | Record::Answered { .. })
+    }
+
     /// The job that it is about.
     #[must_use]
     pub fn job(&self) -> Option<JobNo> {
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -99,6 +99,8 @@
     stage: Stage,
     store: Option<Writer>,
     gate: Gate,
+    /// Something that is seen waits for what was written down last.
+    urgent: bool,
     /// What came before the ledger was open.
     held_back: Vec<Message>,
 }
@@ -156,6 +158,7 @@
         stage: Stage::Opening,
         store: None,
         gate: Gate::default(),
+        urgent: false,
         held_back: Vec::new(),
     });
     let mut driver = Driver {
@@ -306,6 +309,7 @@
 
     fn sweep(&mut self) {
         self.pool.sweep();
+        self.ledger.iter_mut().filter_map(|l| l.store.as_mut()).for_each(Writer::flush);
         if let Err(error) = self.open_peers() {
             tracing::warn!("{error}");
         }
@@ -491,6 +495,10 @@
             self.perform(effect);
         }
         self.effects = effects;
+        if let Some(ledger) = self.ledger.as_mut().filter(|l| l.urgent) {
+            ledger.urgent = false;
+            ledger.store.iter_mut().for_each(Writer::flush);
+        }
         self.front.ready.store(self.core.ready(), Ordering::Relaxed);
         self.front.closing.store(self.core.closing(), Ordering::Relaxed);
         // Beside another that serves, nobody should meet one that can't yet.
@@ -611,7 +619,10 @@
         let Some(ledger) = &mut self.ledger else { return };
         let Some(store) = ledger.store.as_mut().filter(|_| ledger.stage == Stage::Open) else { return };
         match spanlead_ledger::encode(record) {
-            Ok(bytes) => ledger.gate.record(store.append(bytes.into())),
+            Ok(bytes) => {
+                ledger.gate.record(store.append(bytes.into()));
+                ledger.urgent |= !record.can_wait();
+            }
             // Without it what follows would be out of its place.
             Err(error) => {
                 tracing::error!(%error, kind = record.kind(), "a record has no form");
@@ -623,7 +634,11 @@
     /// Does this now if all that was written down is durable; else when it is.
     fn durably(&mut self, effect: Effect, until: Nanos) {
         let passed = match &mut self.ledger {
-            Some(ledger) => ledger.gate.pass(effect, until),
+            Some(ledger) => {
+                let passed = ledger.gate.pass(effect, until);
+                ledger.urgent |= passed.is_none();
+                passed
+            }
             None => Some(Passage::Do(effect)),
         };
         passed.into_iter().for_each(|passage| self.go_through(passage));
--- a/crates/spanlead/src/ledger.rs
+++ b/crates/spanlead/src/ledger.rs
@@ -72,7 +72,8 @@
         );
     }
     tracing::info!(records, bytes, took = ?begun.elapsed(), "the ledger was read");
-    let writer = Writer::start(log, move |progress| drop(to.send(Message::Progress(progress))));
+    let writer =
+        Writer::start(log, settings.gather, move |progress| drop(to.send(Message::Progress(progress))));
     let durability = Durability {
         ledger,
         anchor: clock.anchor(),
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -299,7 +299,7 @@
             }
             (Trouble::Restart(worker), _) => fleet.restart(&worker).await?,
             (Trouble::Misbehave, Some(worker)) => {
-                let how = self.rng.random_range(0..8);
+                let (how, byte) = (self.rng.random_range(0..9), self.rng.random_range(1..400));
                 if how == 0 {
                     fleet.drain(&worker, true);
                     self.later(1000..3000, Trouble::Undrain(worker));
@@ -312,6 +312,7 @@
                     4 => b.cut_every = 3,
                     5 => b.late = Duration::from_millis(700),
                     6 => b.repeat = 3,
+                    7 => b.cut_at = Some(byte),
                     _ => (b.heedless, b.vanished) = (true, true),
                 });
                 self.later(500..4000, Trouble::Behave(worker));
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -109,6 +109,8 @@
     pub late: Duration,
     /// It closes every n-th connection after a job's last byte, without an answer; 0 is never.
     pub cut_every: u64,
+    /// It resets every connection after reading so many bytes of it.
+    pub cut_at: Option<usize>,
     /// It tells each notice so many times.
     pub repeat: u32,
     /// It goes on when its lease is over.
@@ -125,6 +127,7 @@
             slow: 1.0,
             late: Duration::ZERO,
             cut_every: 0,
+            cut_at: None,
             repeat: 1,
             heedless: false,
             leaving: false,
@@ -284,6 +287,20 @@
         stream: tokio::net::TcpStream,
         run: tokio::sync::mpsc::UnboundedSender<Task>,
     ) {
+        let cut_at = self.behaviour.borrow().cut_at;
+        if let Some(mut left) = cut_at {
+            let mut buffer = [0; 512];
+            while left > 0 && stream.readable().await.is_ok() {
+                let most = left.min(buffer.len());
+                match stream.try_read(&mut buffer[..most]) {
+                    Ok(0) => return,
+                    Ok(n) => left -= n,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+            return;
+        }
         let cut = Arc::new(tokio::sync::Notify::new());
         let service = service_fn(|request| {
             let (inner, run, cut) = (self.clone(), run.clone(), cut.clone());
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -42,13 +42,15 @@
 }
 
 enum Order {
-    Append(Bytes),
+    Append(Vec<Bytes>),
     Trim(u64),
 }
 
 /// The way to a log that is written by a thread of its own. Dropping it ends the log in order.
 pub struct Writer {
     orders: Option<Sender<Order>>,
+    /// Records that nobody waits for yet.
+    kept: Vec<Bytes>,
     thread: Option<JoinHandle<()>>,
     next: u64,
     stats: Arc<Mutex<Recorder>>,
@@ -62,11 +64,16 @@
 }
 
 impl Writer {
-    /// Begins to write; `tell` hears how far it has come.
+    /// Begins to write; `tell` hears how far it has come. A commit begins `gather` after its first record, so that more may
+    /// go with it.
     ///
     /// # Errors
     /// If no thread can be had.
-    pub fn start(log: Log, tell: impl FnMut(Progress) + Send + 'static) -> io::Result<Self> {
+    pub fn start(
+        log: Log,
+        gather: Duration,
+        tell: impl FnMut(Progress) + Send + 'static,
+    ) -> io::Result<Self> {
         let (orders, inbox) = channel();
         let next = log.next();
         // A minute with three digits of it; a longer commit counts as one.
@@ -75,17 +82,25 @@
         let recorder = stats.clone();
         let thread = std::thread::Builder::new()
             .name("ledger".into())
-            .spawn(move || write(log, &inbox, tell, &recorder))?;
-        Ok(Writer { orders: Some(orders), thread: Some(thread), next, stats })
+            .spawn(move || write(log, gather, &inbox, tell, &recorder))?;
+        Ok(Writer { orders: Some(orders), kept: Vec::new(), thread: Some(thread), next, stats })
     }
 
-    /// Takes a record; returns its number. It is durable once that was told.
+    /// Takes a record; returns its number. It is written with the next [`Writer::flush`], and durable once that was told.
     pub fn append(&mut self, record: Bytes) -> u64 {
-        self.order(Order::Append(record));
+        self.kept.push(record);
         self.next += 1;
         self.next - 1
     }
 
+    /// Hands what was taken to the thread.
+    pub fn flush(&mut self) {
+        if !self.kept.is_empty() {
+            let kept = std::mem::take(&mut self.kept);
+            self.order(Order::Append(kept));
+        }
+    }
+
     /// Lets segments go that hold nothing from record `oldest` on.
     pub fn trim(&self, oldest: u64) {
         self.order(Order::Trim(oldest));
@@ -113,6 +128,7 @@
 
 impl Drop for Writer {
     fn drop(&mut self) {
+        self.flush();
         self.orders = None;
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -120,16 +136,25 @@
     }
 }
 
-fn write(mut log: Log, inbox: &Receiver<Order>, mut tell: impl FnMut(Progress), stats: &Mutex<Recorder>) {
+fn write(
+    mut log: Log,
+    gather: Duration,
+    inbox: &Receiver<Order>,
+    mut tell: impl FnMut(Progress),
+    stats: &Mutex<Recorder>,
+) {
     let mut group: Vec<Bytes> = Vec::new();
     while let Ok(first) = inbox.recv() {
         let (mut trim, mut size) = (None, 0);
+        if !gather.is_zero() && matches!(first, Order::Append(_)) {
+            std::thread::sleep(gather);
+        }
         let mut next = Some(first);
         while let Some(order) = next {
             match order {
-                Order::Append(record) => {
-                    size += record.len();
-                    group.push(record);
+                Order::Append(records) => {
+                    size += records.iter().map(Bytes::len).sum::<usize>();
+                    group.extend(records);
                 }
                 Order::Trim(oldest) => trim = Some(oldest),
             }
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -5,6 +5,7 @@
 use spanlead_store::sim::SimFolder;
 use spanlead_store::{Disk, Folder, Log, OpenError, Opened, Options, Progress, Reader, Writer};
 use std::sync::mpsc::channel;
+use std::time::Duration;
 
 const SMALL: Options = Options { segment: 256, sync: true };
 
@@ -243,9 +244,11 @@
     let folder = SimFolder::new();
     let (log, _, _) = open(&folder).expect("good");
     let (to, told) = channel();
-    let mut writer = Writer::start(log, move |p| to.send(p).expect("it listens")).expect("a thread");
+    let mut writer =
+        Writer::start(log, Duration::ZERO, move |p| to.send(p).expect("it listens")).expect("a thread");
     for n in 1..=10_000 {
         assert_eq!(writer.append(Bytes::from(record(n))), n);
+        writer.flush();
     }
     let done = |p: &Progress| matches!(p, Progress::Durable { upto: 10_000, .. });
     assert!(told.iter().any(|p| done(&p)));
@@ -262,9 +265,11 @@
     let (log, _, _) = open(&folder).expect("good");
     folder.fail_sync_after(0);
     let (to, told) = channel();
-    let mut writer = Writer::start(log, move |p| to.send(p).expect("it listens")).expect("a thread");
+    let mut writer =
+        Writer::start(log, Duration::ZERO, move |p| to.send(p).expect("it listens")).expect("a thread");
     for n in 0..100 {
         writer.append(Bytes::from(record(n)));
+        writer.flush();
     }
     assert_eq!(told.iter().collect::<Vec<_>>(), [Progress::Failed]);
 }
