Let the check for what the disk holds up not catch up on idle hours

The timer that looks for effects which waited too long for the disk is polled only while something waits. After an idle hour it would have fired 72,000 times in a row, ahead of the inbox; missed ticks are dropped now. Only a process with a ledger reaches it.

--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -32,7 +32,7 @@
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, sleep_until};
 
 /// How often idle connections to workers are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
@@ -235,6 +235,8 @@
     ) {
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
         let mut stall = tokio::time::interval(STALL_CHECK);
+        // It is looked at only while something waits: what was missed till then must not come all at once.
+        stall.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.finished() {
             let timer = self.core.next_timer(self.clock.now()).map(|at| self.clock.instant(at));
             let far = Instant::now() + SWEEP_EVERY;
