Say once who owns a job, and read each record at rest once

Read again: taking a job down worked out its owner and class beside Core::key, which does the same; go_on only called resume; a stage was told by its name as text; the commands on a folder at rest decoded each record twice; the stand-in's Classes was used by nobody. One piece of code each now, behaviour as before.

Lints clean, all tests of the workspace pass.

--- a/crates/core/src/durable.rs
+++ b/crates/core/src/durable.rs
@@ -13,7 +13,8 @@
 use serde::Serialize;
 use settings::position;
 use spanlead_ledger::{
-    Anchor, End, Found, JobNo, Key, Ledger, Lsn, Past, Place, Record, Repeats, Taken, Token,
+    Anchor, End, Found, JobNo, Key, Ledger, Lsn, Past, Place, Record, Repeats, Stage as JobStage, Taken,
+    Token,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -179,12 +180,13 @@
 
     fn key(&self, job: &Job) -> Option<Key> {
         let key = job.mark.as_ref()?.key.clone()?;
+        let (owner, class) = self.owner_and_class(job);
+        Some(Key { owner, class, key })
+    }
+
+    fn owner_and_class(&self, job: &Job) -> (Arc<str>, Arc<str>) {
         let name = |names: &[String], i: u32| Arc::from(names.get(i as usize).map_or("", String::as_str));
-        Some(Key {
-            owner: name(&self.names.tenants, job.tenant),
-            class: name(&self.names.classes, job.class),
-            key,
-        })
+        (name(&self.names.tenants, job.tenant), name(&self.names.classes, job.class))
     }
 
     /// Gives a client of the process before its place again. Its request is open here since the ledger was read, or has had
@@ -258,14 +260,7 @@
         if !self.keeps(job) {
             return None;
         }
-        let (class, owner) = match self.key(job) {
-            Some(key) => (key.class, key.owner),
-            None => {
-                let name =
-                    |names: &[String], i: u32| Arc::from(names.get(i as usize).map_or("", String::as_str));
-                (name(&self.names.classes, job.class), name(&self.names.tenants, job.tenant))
-            }
-        };
+        let (owner, class) = self.owner_and_class(job);
         let repeats = match self.effects.get(job.class as usize)? {
             Repeating::Safe => Repeats::Harmless,
             Repeating::Keyed { ttl, .. } => Repeats::Dropped(*ttl),
@@ -440,8 +435,8 @@
     /// The worker has begun to run the job.
     pub(crate) fn started(&mut self, attempt: AttemptId, out: &mut Vec<Effect>) {
         let Some((job, token)) = self.leased(attempt) else { return };
-        let stage = self.durable.as_ref().and_then(|d| d.ledger.job(job)).map(|j| j.state());
-        if stage == Some("leased") {
+        let stage = self.durable.as_ref().and_then(|d| d.ledger.job(job)).map(|j| &j.stage);
+        if matches!(stage, Some(JobStage::Leased(_))) {
             self.record(Record::Started { job, token }, out);
         }
     }
@@ -597,23 +592,10 @@
         self.resume(now, ticket, this, Some(no), past, out_there, out);
     }
 
-    /// Goes on with a new request of a key from the attempts that an earlier one left unsettled.
-    pub(crate) fn go_on(
-        &mut self,
-        now: Nanos,
-        ticket: RequestId,
-        job: Job,
-        durable: Option<JobNo>,
-        before: Vec<Past>,
-        out: &mut Vec<Effect>,
-    ) {
-        self.resume(now, ticket, job, durable, before, None, out);
-    }
-
     /// Opens a request with attempts of before, the last of them out if `out_there`, which tells whether its worker has
     /// the job for certain and goes by its lease.
     #[allow(clippy::too_many_arguments, reason = "what is known of a request")]
-    fn resume(
+    pub(crate) fn resume(
         &mut self,
         now: Nanos,
         ticket: RequestId,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -687,7 +687,8 @@
             false => None,
         };
         if durable.is_some() && !before.is_empty() {
-            return self.go_on(now, ticket, job, durable, before, out);
+            // It goes on from what an earlier one of its key left unsettled.
+            return self.resume(now, ticket, job, durable, before, None, out);
         }
         let tries = tries.unwrap_or_default();
         let known = tries.iter().all(|t| self.workers.contains_key(&t.worker));
--- a/crates/spanlead/src/ledger.rs
+++ b/crates/spanlead/src/ledger.rs
@@ -45,9 +45,10 @@
 }
 
 /// Takes one record as it is read back.
-fn replay(ledger: &mut Ledger, lsn: u64, bytes: &[u8]) -> Result<(), String> {
+fn replay(ledger: &mut Ledger, lsn: u64, bytes: &[u8]) -> Result<Record, String> {
     let record = decode(bytes).map_err(|e| format!("record {lsn} can't be read: {e}"))?;
-    ledger.replay(lsn, &record).map_err(|e| format!("record {lsn}: {e}"))
+    ledger.replay(lsn, &record).map_err(|e| format!("record {lsn}: {e}"))?;
+    Ok(record)
 }
 
 fn read(
@@ -59,8 +60,9 @@
     let begun = Instant::now();
     let mut ledger = Ledger::new(limits(settings));
     let options = Options { segment: settings.segment, sync: settings.sync };
-    let (log, opened) = Log::open(Box::new(disk), options, |lsn, bytes| replay(&mut ledger, lsn, bytes))
-        .map_err(|e| e.to_string())?;
+    let (log, opened) =
+        Log::open(Box::new(disk), options, |lsn, bytes| replay(&mut ledger, lsn, bytes).map(drop))
+            .map_err(|e| e.to_string())?;
     ledger.seek(log.next());
     let Opened { records, bytes, torn } = opened;
     if let Some((file, offset, bytes)) = torn {
@@ -96,8 +98,7 @@
     // What has expired is shown as well: how long it was kept is not written in the folder.
     let mut ledger = Ledger::new(Limits { keep: Nanos::MAX / 4, jobs: usize::MAX });
     let (segments, opened) = Reader::new(&disk as &dyn Folder).read(|lsn, bytes| {
-        replay(&mut ledger, lsn, bytes)?;
-        each(lsn, decode(bytes).map_err(|e| e.to_string())?);
+        each(lsn, replay(&mut ledger, lsn, bytes)?);
         Ok(())
     })?;
     Ok((ledger, segments, opened))
@@ -214,7 +215,8 @@
     let disk = Disk::take(folder)?.ok_or("a process serves on this folder; it does this by itself")?;
     let mut ledger = Ledger::new(Limits { keep: keep.as_nanos() as Nanos, jobs: usize::MAX });
     let options = Options { segment: 16 << 20, sync: true };
-    let (mut log, opened) = Log::open(Box::new(disk), options, |lsn, bytes| replay(&mut ledger, lsn, bytes))?;
+    let (mut log, opened) =
+        Log::open(Box::new(disk), options, |lsn, bytes| replay(&mut ledger, lsn, bytes).map(drop))?;
     ledger.seek(log.next());
     let session = ledger.session(Clock::new().anchor());
     ledger.apply(&session)?;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -29,9 +29,6 @@
     pub seed: u64,
 }
 
-/// The classes and their shares.
-pub type Classes = Vec<Class>;
-
 /// A job as its client sees it.
 #[derive(Clone, Debug)]
 pub struct Job {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,7 +14,7 @@
 mod record;
 mod worker;
 
-pub use client::{Classes, Job, Load, Outcome, Plan, Summary};
+pub use client::{Job, Load, Outcome, Plan, Summary};
 pub use discovery::{Discovery, Listed};
 pub use fleet::{Class, Fleet, FleetPlan, Scope, classes, config};
 pub use process::Scheduler;
