--- a/crates/spanlead/tests/harness/mod.rs
+++ b/crates/spanlead/tests/harness/mod.rs
@@ -261,18 +261,17 @@
         let conf = durable_conf(folder, "");
         let text = config(discovery, &known.join(","));
         let shell = format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\" serve --conf \"$1\"");
-        let plain = command("serve", &text);
-        let mut cramped = Command::new("sh");
-        cramped.args(["-c", &shell, env!("CARGO_BIN_EXE_spanlead")]).arg(conf);
-        for (name, value) in plain.get_envs() {
-            match value {
-                Some(value) => cramped.env(name, value),
-                None => cramped.env_remove(name),
-            };
-        }
+        let mut cramped = through_shell(&shell, &text);
+        cramped.arg(conf);
         Self::spawn(cramped, discovery, |command| command)
     }
 
+    /// Starts one by this line of shell, in which `$0` is the program.
+    pub fn start_by(line: &str, discovery: SocketAddr, known: &[String]) -> Self {
+        let text = config(discovery, &known.join(","));
+        Self::spawn(through_shell(line, &text), discovery, |command| command)
+    }
+
     fn start_with(
         discovery: SocketAddr,
         known: &[String],
@@ -366,6 +365,11 @@
         self.wait();
     }
 
+    /// The id of the process that was started.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
     }
@@ -426,6 +430,20 @@
     command
 }
 
+/// This line of shell with the program as `$0`, in the environment that a plain start has.
+fn through_shell(line: &str, text: &str) -> Command {
+    let plain = command("serve", text);
+    let mut shell = Command::new("sh");
+    shell.args(["-c", line, env!("CARGO_BIN_EXE_spanlead")]);
+    for (name, value) in plain.get_envs() {
+        match value {
+            Some(value) => shell.env(name, value),
+            None => shell.env_remove(name),
+        };
+    }
+    shell
+}
+
 /// A configuration: `status-check` is safe to repeat, `guest-visit` within a cell, `once` never.
 pub fn config(discovery: SocketAddr, known: &str) -> String {
     let grade = |name: &str, effect: &str| {
