--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -155,13 +155,17 @@
         self.cycles[0].len()
     }
 
-    fn set(&mut self, index: u32, hash: &[u64; CYCLES], member: bool) {
-        for (cycle, h) in self.cycles.iter_mut().zip(hash) {
-            match (cycle.binary_search(&(*h, index)), member) {
-                (Err(at), true) => cycle.insert(at, (*h, index)),
-                (Ok(at), false) => drop(cycle.remove(at)),
-                _ => {}
-            }
+    /// Takes the workers at `moved` in or out in one pass: one by one, a large list would cost its square.
+    fn settle(&mut self, workers: &[Worker], moved: &[u32]) {
+        let (mut out, kind) = (vec![false; workers.len()], self.kind);
+        moved.iter().for_each(|i| out[*i as usize] = true);
+        let ready = |w: &Worker| w.state == WorkerState::Ready && kind.is_none_or(|k| k == w.kind);
+        for (c, cycle) in self.cycles.iter_mut().enumerate() {
+            cycle.retain(|(_, i)| !out[*i as usize]);
+            let joined = moved.iter().map(|i| (&workers[*i as usize], *i)).filter(|(w, _)| ready(w));
+            cycle.extend(joined.map(|(w, i)| (w.hash[c], i)));
+            cycle.sort();
+            cycle.dedup();
         }
     }
 
@@ -466,9 +470,7 @@
         for kind in new.iter().filter_map(|c| c.kind) {
             if !self.graphs.iter().any(|g| g.kind == Some(kind)) {
                 let mut graph = Graph::new(Some(kind));
-                for (i, w) in self.workers.iter().enumerate() {
-                    graph.set(i as u32, &w.hash, w.state == WorkerState::Ready && w.kind == kind);
-                }
+                graph.settle(&self.workers, &(0..self.workers.len() as u32).collect::<Vec<_>>());
                 self.graphs.push(graph);
             }
         }
@@ -498,23 +500,26 @@
     }
 
     fn members(&mut self, now: Nanos, scope: ListScope, entries: &[Entry<'_>], out: &mut Vec<Action>) {
-        let mut listed = vec![false; self.workers.len()];
+        let (mut listed, mut moved) = (vec![false; self.workers.len()], Vec::new());
         for entry in entries {
-            let i = self.upsert(now, entry);
+            let i = self.upsert(now, entry, &mut moved);
             if let Some(seen) = listed.get_mut(i as usize) {
                 *seen = true;
             }
         }
         if matches!(scope, ListScope::Full | ListScope::Cached) {
             for i in (0..listed.len()).filter(|&i| !listed[i]) {
-                self.set_state(i as u32, WorkerState::Gone);
+                self.set_state(i as u32, WorkerState::Gone, self.workers[i].kind, &mut moved);
             }
         }
+        if !moved.is_empty() {
+            self.graphs.iter_mut().for_each(|g| g.settle(&self.workers, &moved));
+        }
         self.capacity_at = 0;
         self.listed(scope, out);
     }
 
-    fn upsert(&mut self, now: Nanos, entry: &Entry<'_>) -> u32 {
+    fn upsert(&mut self, now: Nanos, entry: &Entry<'_>, moved: &mut Vec<u32>) -> u32 {
         let known = self.index.get(entry.worker).copied();
         let i = known.unwrap_or_else(|| {
             let id: Arc<str> = Arc::from(entry.worker);
@@ -558,7 +563,7 @@
         if worker.state == WorkerState::Ready {
             self.weight_sum += entry.weight - worker.weight;
         }
-        worker.weight = entry.weight;
+        (worker.weight, worker.zone, worker.cell) = (entry.weight, entry.zone, entry.cell);
         if entry.started != worker.started {
             // A restart under the same id: what was learned was of the process before.
             worker.started = entry.started.map(|t| t.min(now));
@@ -568,19 +573,18 @@
             worker.report_at = None;
             (worker.window_end, worker.window_left) = (0, 0.0);
         }
-        self.set_state(i, entry.state);
+        self.set_state(i, entry.state, entry.kind, moved);
         i
     }
 
-    fn set_state(&mut self, i: u32, state: WorkerState) {
+    fn set_state(&mut self, i: u32, state: WorkerState, kind: u32, moved: &mut Vec<u32>) {
         let worker = &mut self.workers[i as usize];
         let counted = |s| f64::from(u8::from(s == WorkerState::Ready)) * worker.weight;
         self.weight_sum += counted(state) - counted(worker.state);
-        worker.state = state;
-        for graph in &mut self.graphs {
-            let member = state == WorkerState::Ready && graph.kind.is_none_or(|k| k == worker.kind);
-            graph.set(i, &worker.hash, member);
+        if (worker.state, worker.kind) != (state, kind) {
+            moved.push(i);
         }
+        (worker.state, worker.kind) = (state, kind);
     }
 
     // ------------------------------------------------------------ walkers and choice
--- a/crates/oatdock/tests/graph.rs
+++ b/crates/oatdock/tests/graph.rs
@@ -100,3 +100,67 @@
     assert_eq!(visits.len(), names.len());
     assert!(visits.values().all(|v| (fair / 3..fair * 3).contains(v)), "{visits:?}");
 }
+
+// Guards the one pass over a list: whatever came before, and in whatever order, the graph is that of the ready workers.
+#[test]
+fn a_list_in_one_go_gives_the_graph_of_its_workers_one_by_one() {
+    let all = names(300);
+    let mut dice = Dice(7);
+    let mut state: BTreeMap<&String, WorkerState> = BTreeMap::new();
+    let (mut whole, mut single) = (dispatcher(&[], 1), dispatcher(&[], 2));
+    for round in 0..40 {
+        let states = [WorkerState::Ready, WorkerState::Ready, WorkerState::Draining, WorkerState::Gone];
+        let count = if round % 2 == 0 { 300 } else { 1 + dice.below(20) };
+        let drawn: Vec<(&String, WorkerState)> =
+            (0..count).map(|_| (&all[dice.below(300) as usize], states[dice.below(4) as usize])).collect();
+        // A list may name a worker twice: the last word holds, as it does one by one.
+        state.extend(drawn.iter().copied());
+        let entries: Vec<Entry<'_>> = drawn.iter().map(|(w, s)| Entry::new(w, *s)).collect();
+        let hear = |d: &mut Dispatcher, entries: &[Entry<'_>]| {
+            d.handle(1, Event::Members { scope: ListScope::Changes, entries }, &mut Vec::new());
+        };
+        hear(&mut whole, &entries);
+        entries.iter().for_each(|e| hear(&mut single, std::slice::from_ref(e)));
+        let ready: Vec<String> =
+            state.iter().filter(|(_, s)| **s == WorkerState::Ready).map(|(w, _)| (*w).clone()).collect();
+        let fresh = edges(&dispatcher(&ready, 3), &ready);
+        assert_eq!(edges(&whole, &ready), fresh, "round {round}");
+        assert_eq!(edges(&single, &ready), fresh, "round {round}");
+    }
+}
+
+// Guards facts that change under a worker that runs on: its kind, where its repeats are dropped.
+#[test]
+fn a_listed_worker_may_change_its_kind() {
+    let mut settings = settings(Effect::Safe);
+    settings.kinds = 2;
+    settings.classes[0].kind = Some(1);
+    let mut dispatcher = Dispatcher::new(settings, 1).expect("legal");
+    let mut send = |kind: u32, id: u64| {
+        let entries = [Entry { kind, ..Entry::new("a", WorkerState::Ready) }];
+        let mut out = Vec::new();
+        dispatcher.handle(id, Event::Members { scope: ListScope::Changes, entries: &entries }, &mut out);
+        dispatcher.handle(id, Event::Request(Request::new(RequestId(id), 0, SEC)), &mut out);
+        out.iter().any(|a| matches!(a, Action::Send { .. } | Action::Probe { .. }))
+    };
+    assert_eq!([send(0, 1), send(1, 2), send(0, 3), send(1, 4)], [false, true, false, true]);
+}
+
+// Guards against a cost that grows with the square: that a list twenty times as long is gone may take a hundred times as
+// long at the most.
+#[test]
+fn a_large_list_costs_little_more_than_its_length() {
+    let time = |n| {
+        let names = names(n);
+        let round = |seed| {
+            let mut dispatcher = dispatcher(&names, seed);
+            let begun = std::time::Instant::now();
+            dispatcher.handle(1, Event::Members { scope: ListScope::Full, entries: &[] }, &mut Vec::new());
+            begun.elapsed()
+        };
+        (0..5).map(round).min().expect("rounds")
+    };
+    let (small, large) = (time(1_000), time(20_000));
+    println!("{small:?} for 1,000 and {large:?} for 20,000");
+    assert!(large < 100 * small, "{small:?} for 1,000 and {large:?} for 20,000");
+}
