Split the reducer by concern: types, requests, attempts, members

core/src/lib.rs had 1,127 lines and the workers' part is about to grow (facts from inventories, large lists in slices). Moved without change of behaviour: what goes in and out (types), requests, attempts, members; lib.rs keeps the state, the step and the timers, 381 lines.

--- /dev/null
+++ b/crates/core/src/types.rs
@@ -0,0 +1,313 @@
+//! What goes into the reducer and what comes out of it.
+use crate::Durability;
+use crate::durable::LedgerFigures;
+use bytes::Bytes;
+use oatdock::{ListScope, Nanos, Outcome, Report, RequestId, Settings, WorkerState};
+use serde::{Deserialize, Serialize};
+use settings::Names;
+use spanlead_ledger::{JobNo, Record};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A request as it came in. `due` is when the client gives up; it travels with the request.
+#[derive(Debug)]
+pub struct Job {
+    pub id: Arc<str>,
+    pub class: u32,
+    pub tenant: u32,
+    pub slots: f64,
+    pub memory: f64,
+    pub key: Option<u64>,
+    pub due: Nanos,
+    /// What the ledger needs of it, where there is one.
+    pub mark: Option<Mark>,
+}
+
+/// What makes a request known again, and lets another process send it.
+#[derive(Clone, Debug)]
+pub struct Mark {
+    /// Its `Idempotency-Key`.
+    pub key: Option<Arc<str>>,
+    /// A digest of what is asked for.
+    pub fingerprint: [u8; 16],
+    /// The request as it goes to a worker.
+    pub text: Bytes,
+}
+
+/// What another process must know of an open request to go on with it.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Tale {
+    pub id: Arc<str>,
+    pub due: Nanos,
+    pub tries: Vec<Chapter>,
+    /// The ledger holds it, and says what became of it.
+    #[serde(default)]
+    pub durable: bool,
+}
+
+/// An attempt in such a tale; `ran` tells whether it may have run, once it is over.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Chapter {
+    pub(crate) worker: Arc<str>,
+    pub(crate) sent: Nanos,
+    pub(crate) ran: Option<bool>,
+}
+
+/// An attempt: its request and its number, counted from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AttemptId(pub RequestId, pub u32);
+
+/// A worker as the list names it.
+#[derive(Clone, Debug)]
+pub struct Host {
+    pub name: Arc<str>,
+    pub addr: SocketAddr,
+    pub state: WorkerState,
+    pub started: Option<Nanos>,
+    pub kind: u32,
+    pub zone: u32,
+    pub cell: u32,
+    pub weight: f64,
+}
+
+/// How the exchange that hands an attempt to its worker ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Handover {
+    /// The worker has the job and will tell what becomes of it; whether it has understood its lease.
+    Taken { aware: bool },
+    /// The worker can't use the request, nor could another.
+    Unusable,
+    /// The attempt is over.
+    Ended(Outcome, Option<Report>),
+}
+
+/// What a worker tells of a job that it has taken.
+#[derive(Debug)]
+pub enum News {
+    Started,
+    Running(f64),
+    Done(String),
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// All that can happen.
+#[derive(Debug)]
+pub enum Input {
+    Request {
+        ticket: RequestId,
+        job: Job,
+        /// What another process of this scheduler did for it before.
+        tries: Option<Vec<Chapter>>,
+        /// It was handed over, and the ledger holds it.
+        durable: bool,
+    },
+    ClientLeft {
+        ticket: RequestId,
+    },
+    Handover {
+        attempt: AttemptId,
+        how: Handover,
+    },
+    /// A worker's notice, which is owed an [`Effect::Acknowledge`].
+    News {
+        note: u64,
+        id: String,
+        from: String,
+        /// The fencing token, from a worker that knows leases.
+        token: Option<u64>,
+        news: News,
+        report: Option<Report>,
+    },
+    Abandoned {
+        attempt: AttemptId,
+    },
+    /// Discovery's news, at its version of the list.
+    List {
+        scope: ListScope,
+        version: u64,
+        hosts: Vec<Host>,
+    },
+    /// The configuration's file was read again: where discovery is from now on, and the settings if they are new, with
+    /// the earlier class that each class continues.
+    Reloaded {
+        discovery: SocketAddr,
+        settings: Option<(Box<Settings>, Vec<Option<u32>>)>,
+        names: Arc<Names>,
+    },
+    Probed {
+        worker: Arc<str>,
+        sent: Nanos,
+        outcome: Outcome,
+        report: Option<Report>,
+    },
+    Peer {
+        from: u32,
+        data: Vec<u8>,
+    },
+    /// A timer may be due.
+    Tick,
+    /// The order to stop: finish what is owed.
+    Stop,
+    /// Operators want the clients sent away, or want them back.
+    Drain(bool),
+    /// At most so many requests may be open from now on, and whether another process is there to take over.
+    Share {
+        open: usize,
+        successor: bool,
+    },
+    /// The successor takes over what is open, as far as its attempts stand still.
+    HandOver,
+    /// A request of this class was turned away before it could be taken.
+    TurnedAway {
+        class: u32,
+    },
+    /// The last byte of an attempt has been written to its worker.
+    Written,
+    /// The configuration's file could not be used.
+    Unreadable,
+    /// The ledger was read: what it holds is open here from now on.
+    Opened(Box<Durability>),
+    /// The ledger's records are durable so far, and it has this size on disk, bytes.
+    Stored {
+        bytes: u64,
+    },
+    /// The ledger can't be written to any more.
+    StoreFailed,
+    /// The ledger is another process's from now on.
+    Released,
+    /// A client was handed this job's answer.
+    Answered {
+        job: JobNo,
+    },
+}
+
+/// What a worker's notice is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It has been heard; the worker may believe in its lease for so long from when it sent this.
+    Heard { lease: Option<Nanos> },
+    /// Its lease is over: it must stop, and its result is not wanted.
+    Fenced,
+}
+
+/// A lease as a worker is told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    pub token: u64,
+    pub length: Nanos,
+}
+
+/// A request's one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Served(String),
+    Refused {
+        retry_after: Option<Nanos>,
+    },
+    Failed,
+    /// A worker says that it can't use the request.
+    Unusable,
+    /// The id is that of a request still open.
+    Duplicate,
+    /// Its key was used for another request.
+    Mismatch,
+}
+
+/// How a class's requests ended.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Ends {
+    /// Served.
+    pub completed: u64,
+    /// Refused: trying again is harmless.
+    pub rejected: u64,
+    pub failed: u64,
+}
+
+/// What operators are shown, as it is at one moment. All counts begin with the process.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    pub downstream_requests: BTreeMap<String, Ends>,
+    /// Attempts written whole to workers.
+    pub upstream_requests: u64,
+    /// Requests taken and not yet ended.
+    pub pending: usize,
+    /// Workers in the list, and those of them that get nothing now.
+    pub members: usize,
+    pub members_unavailable: usize,
+    /// Configuration files taken, and turned down, at SIGHUP.
+    pub config_reloads: u64,
+    pub config_reload_errors: u64,
+    /// The ledger, where there is one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ledger: Option<LedgerFigures>,
+}
+
+/// What the reducer wants done.
+#[derive(Debug)]
+pub enum Effect {
+    /// The request is another process's from now on.
+    HandOver {
+        ticket: RequestId,
+        tale: Tale,
+    },
+    Answer {
+        ticket: RequestId,
+        answer: Answer,
+        /// The durable job whose answer it is, if that should know.
+        job: Option<JobNo>,
+    },
+    Send {
+        attempt: AttemptId,
+        addr: SocketAddr,
+        until: Nanos,
+        lease: Option<Offer>,
+        /// The request, where no client's is at hand.
+        text: Option<Bytes>,
+    },
+    /// Writes this down.
+    Record(Record),
+    /// Does this when all that was written down so far is durable. If that takes until `until`, it is too late for it.
+    Durably {
+        effect: Box<Effect>,
+        until: Nanos,
+    },
+    Acknowledge {
+        note: u64,
+        reply: Reply,
+    },
+    /// The ledger's records before this one are not needed.
+    Trim {
+        oldest: u64,
+    },
+    Abandon {
+        attempt: AttemptId,
+        addr: SocketAddr,
+        id: Arc<str>,
+        taken: bool,
+        until: Nanos,
+    },
+    Probe {
+        worker: Arc<str>,
+        addr: SocketAddr,
+        until: Nanos,
+    },
+    CloseIdle {
+        addr: SocketAddr,
+    },
+    Tell {
+        peer: Option<u32>,
+        data: Vec<u8>,
+    },
+    /// Watch discovery at `addr` for what is newer than `version`, in place of any watch under way.
+    Watch {
+        addr: SocketAddr,
+        version: u64,
+    },
+    FetchList {
+        addr: SocketAddr,
+    },
+    Log(String),
+}
