Read inventories in CSV and YAML as facts about workers beside the live list

The worker list tells only whether a process runs; clubs keep what else is known in files of their tools.

The reducer fills what the list leaves open, never more; a pod or zone that changes is nobody's until the longest window of repeats is over; an unknown one is a worker's own.

--- a/crates/conf/src/fields.rs
+++ b/crates/conf/src/fields.rs
@@ -35,6 +35,21 @@
         self.add(line, keyword, why);
     }
 
+    /// The section's one name, which must be a plain word: it becomes a part of files' names and of calls.
+    pub fn name(&mut self) -> Option<String> {
+        let plain = |n: &String| {
+            let bytes = n.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
+            bytes && !n.is_empty() && n.len() <= 32
+        };
+        match &self.section.arguments[..] {
+            [name] if plain(name) => return Some(name.clone()),
+            [_] => self
+                .section_problem("its name is not a word of letters, digits, - and _, 32 at the most".into()),
+            _ => self.section_problem("this section takes one name".into()),
+        }
+        None
+    }
+
     pub fn no_arguments(&mut self) {
         if !self.section.arguments.is_empty() {
             self.section_problem("this section takes no name".into());
@@ -67,13 +82,28 @@
             self.add(again.line, keyword, format!("stands on line {} already", first.line));
         }
         let mut words = Words { words: first.arguments.iter() };
-        let value = read(&mut words).and_then(|value| match words.words.next() {
-            Some(extra) => Err(format!("`{extra}` is one argument too many")),
-            None => Ok(value),
-        });
+        let value = read(&mut words).and_then(|value| words.end().map(|()| value));
         value.map_err(|why| self.add(first.line, keyword, why)).ok()
     }
 
+    /// The values of a keyword that may stand several times.
+    pub fn many<T>(
+        &mut self,
+        keyword: &'static str,
+        mut read: impl FnMut(&mut Words<'_>) -> Result<T, String>,
+    ) -> Vec<T> {
+        self.known.push(keyword);
+        let mut values = Vec::new();
+        for entry in self.entries(keyword) {
+            let mut words = Words { words: entry.arguments.iter() };
+            match read(&mut words).and_then(|value| words.end().map(|()| value)) {
+                Ok(value) => values.push(value),
+                Err(why) => self.add(entry.line, keyword, why),
+            }
+        }
+        values
+    }
+
     /// The same for one that may not be missing.
     pub fn required<T>(
         &mut self,
@@ -118,6 +148,26 @@
         self.words.next().map(String::as_str).ok_or_else(|| "its argument is missing".to_owned())
     }
 
+    fn end(&mut self) -> Result<(), String> {
+        match self.words.next() {
+            Some(extra) => Err(format!("`{extra}` is one argument too many")),
+            None => Ok(()),
+        }
+    }
+
+    pub fn text(&mut self) -> Result<String, String> {
+        let word = self.word()?;
+        if word.is_empty() { Err("the text is empty".into()) } else { Ok(word.to_owned()) }
+    }
+
+    /// A share in percent; a bare number is not taken.
+    pub fn percent(&mut self) -> Result<f64, String> {
+        let word = self.word()?;
+        let number = word.strip_suffix('%').and_then(|n| n.parse::<f64>().ok());
+        let inside = number.filter(|n| (0.0..=100.0).contains(n));
+        inside.map(|n| n / 100.0).ok_or_else(|| format!("`{word}` is not a share between 0% and 100%"))
+    }
+
     pub fn path(&mut self) -> Result<PathBuf, String> {
         match self.word()? {
             "" => Err("the path is empty".into()),
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -8,9 +8,11 @@
 //! The grammar is ours since it has four rules; words (`shlex`), spans (`humantime`), sizes (`bytesize`) and the nearest
 //! keyword (`strsim`, Damerau-Levenshtein) are libraries'.
 mod fields;
+mod inventory;
 mod lines;
 
 use fields::{Fields, Words};
+pub use inventory::{Delimiter, Inventory, InventoryForm, Watch};
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -25,6 +27,8 @@
     pub log: Log,
     /// The ledger of jobs; without it nothing is kept through a crash.
     pub ledger: Option<Ledger>,
+    /// Inventories; the first goes before the others.
+    pub inventories: Vec<Inventory>,
 }
 
 /// How the log is written, to standard error.
@@ -166,14 +170,17 @@
     let mut errors = Errors(Vec::new());
     let sections = lines::sections(file, bytes, &mut errors.0);
     let mut conf = Conf::default();
-    let mut seen: Vec<(&str, usize)> = Vec::new();
+    let mut seen: Vec<(&str, &[String], usize)> = Vec::new();
     for section in &sections {
         let mut fields = Fields::new(file, section, &mut errors.0);
-        if let Some((_, line)) = seen.iter().find(|(name, _)| *name == section.name) {
+        let same = |(name, arguments, _): &&(&str, &[String], usize)| {
+            *name == section.name && (section.name != "inventory" || *arguments == section.arguments)
+        };
+        if let Some((_, _, line)) = seen.iter().find(same) {
             fields.section_problem(format!("the section stands on line {line} already"));
             continue;
         }
-        seen.push((&section.name, section.line));
+        seen.push((&section.name, &section.arguments, section.line));
         match section.name.as_str() {
             "log" => {
                 fields.no_arguments();
@@ -185,7 +192,11 @@
                 conf.ledger = Ledger::read(&mut fields);
                 fields.done();
             }
-            _ => fields.unknown_section(&["log", "ledger"]),
+            "inventory" => {
+                conf.inventories.extend(Inventory::read(&mut fields));
+                fields.done();
+            }
+            _ => fields.unknown_section(&["log", "ledger", "inventory"]),
         }
     }
     errors.0.sort_by_key(|p| p.line);
--- a/crates/core/examples/recovery.rs
+++ b/crates/core/examples/recovery.rs
@@ -109,7 +109,16 @@
         let (now, mut effects) = (1002 * SEC, Vec::new());
         let host = |i| {
             let Place { worker: name, addr, cell, .. } = place(i);
-            Host { name, addr, state: WorkerState::Ready, started: None, kind: 0, zone: 0, cell, weight: 1.0 }
+            Host {
+                name,
+                addr,
+                state: WorkerState::Ready,
+                started: None,
+                kind: Some(0),
+                zone: Some(0),
+                cell: Some(cell),
+                weight: None,
+            }
         };
         let hosts = (0..20).map(host).collect();
         core.step(now, Input::List { scope: oatdock::ListScope::Full, version: 1, hosts }, &mut effects);
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -1,5 +1,6 @@
 //! The attempts of requests at workers, from the send to the one place where they end.
 use crate::durable;
+use crate::members::Member;
 use crate::{
     ABANDON_WAIT, Answer, Attempt, AttemptId, Core, Effect, Handover, News, Reply, Stage, TAKE_WAIT, Timer,
 };
@@ -21,7 +22,8 @@
         let (durable, first) = (request.durable, request.first);
         // What can't be written down may not go out.
         let barred = durable.is_some() && self.durable.as_ref().is_none_or(|d| d.failed);
-        let Some(host) = self.workers.get(&to.0).filter(|_| !request.answered && now < until && !barred)
+        let Some(Member { host, .. }) =
+            self.workers.get(&to.0).filter(|_| !request.answered && now < until && !barred)
         else {
             let event = Event::Ended {
                 id: ticket,
--- a/crates/core/src/durable.rs
+++ b/crates/core/src/durable.rs
@@ -7,9 +7,7 @@
     Timer,
 };
 use bytes::Bytes;
-use oatdock::{
-    Effect as Repeating, Entry, Event, ListScope, Nanos, Outcome, RequestId, Tried, WorkerId, WorkerState,
-};
+use oatdock::{Effect as Repeating, Event, Nanos, Outcome, RequestId, Tried, WorkerId, WorkerState};
 use serde::Serialize;
 use settings::position;
 use spanlead_ledger::{
@@ -369,10 +367,9 @@
         let (token, length) = (d.ledger.next_token(), d.lease);
         let this = self.requests.get_mut(&attempt.0)?.attempts.get_mut(attempt.1 as usize)?;
         this.token = Some(token);
-        let host = self.workers.get(&this.worker)?;
-        let zone = self.names.zones.get(host.zone as usize).map_or("", String::as_str);
-        let place =
-            Place { worker: this.worker.clone(), addr: this.addr, zone: Arc::from(zone), cell: host.cell };
+        let told = self.workers.get(&this.worker)?.told?;
+        let zone = Arc::from(self.names.zones.get(told.zone as usize).map_or("", String::as_str));
+        let place = Place { worker: this.worker.clone(), addr: this.addr, zone, cell: told.lasting_cell() };
         // Its worker counts from when it came there, which is before we hear that it has.
         let until = now + TAKE_WAIT + length;
         self.record(Record::Leased { job, token, place, sent: now, until }, out);
@@ -664,16 +661,13 @@
                 addr: place.addr,
                 state: WorkerState::Gone,
                 started: None,
-                kind: 0,
-                // A zone that is not there any more is no other worker's.
-                zone: position(&self.names.zones, &place.zone).unwrap_or(u32::MAX),
-                cell: place.cell,
-                weight: 1.0,
+                kind: None,
+                // A zone that is not there any more, or a pod that nobody knew, is no other worker's.
+                zone: position(&self.names.zones, &place.zone),
+                cell: Some(place.cell),
+                weight: None,
             };
-            let entry =
-                Entry { cell: host.cell, zone: host.zone, ..Entry::new(&host.name, WorkerState::Gone) };
-            self.decide(now, Event::Members { scope: ListScope::Changes, entries: &[entry] }, out);
-            self.workers.insert(host.name.clone(), host);
+            self.introduce_gone(now, host, out);
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,7 +12,9 @@
 use durable::Durable;
 pub use durable::{Durability, LedgerFigures};
 pub use gate::{Gate, Passage};
+use members::{Facts, Member};
 use oatdock::{Action, Dispatcher, Event, Nanos, Outcome, RequestId, Settings, SettingsError, WorkerState};
+use rustc_hash::FxHashMap;
 use settings::Names;
 use spanlead_ledger::{JobNo, Record, Token};
 use std::collections::{BTreeMap, HashMap};
@@ -80,6 +82,10 @@
     JoinedOverdue(RequestId),
     /// A worker's lease may be over.
     LeaseEnds(AttemptId),
+    /// More of a large list may be taken.
+    Slice,
+    /// A worker's pod and zone may count again.
+    Unbar(Arc<str>),
 }
 
 /// The scheduler's whole state.
@@ -90,7 +96,10 @@
     requests: HashMap<RequestId, Request>,
     /// The serial of each open request by the id that the clients and workers know.
     by_id: HashMap<Arc<str>, RequestId>,
-    workers: HashMap<Arc<str>, Host>,
+    workers: FxHashMap<Arc<str>, Member>,
+    facts: Facts,
+    /// The classes that need a kind of machine, and which.
+    kinds: Vec<(u32, u32)>,
     names: Arc<Names>,
     /// What repeats of each class do, by its number.
     effects: Vec<oatdock::Effect>,
@@ -134,13 +143,16 @@
     ) -> Result<Self, SettingsError> {
         let (tick, classes) = (settings.tick, settings.classes.len());
         let effects = settings.classes.iter().map(|c| c.effect).collect();
+        let kinds = kinds(&settings, 0);
         Ok(Core {
             dispatcher: Dispatcher::new(settings, seed)?,
             tick,
             max_open,
             requests: HashMap::new(),
             by_id: HashMap::new(),
-            workers: HashMap::new(),
+            workers: FxHashMap::default(),
+            facts: Facts::default(),
+            kinds,
             names,
             effects,
             wants_ledger,
@@ -165,7 +177,9 @@
     /// Whether this process can serve.
     pub fn serves(&self) -> bool {
         let durable = !self.wants_ledger || self.durable.as_ref().is_some_and(|d| !d.failed);
-        self.stopping.is_none() && durable && self.workers.values().any(|w| w.state == WorkerState::Ready)
+        self.stopping.is_none()
+            && durable
+            && self.workers.values().any(|w| w.host.state == WorkerState::Ready)
     }
 
     /// Whether new requests should come here.
@@ -192,7 +206,7 @@
             sum.rejected += ends.rejected;
             sum.failed += ends.failed;
         }
-        let members = || self.workers.values().filter(|w| w.state != WorkerState::Gone);
+        let members = || self.workers.values().map(|m| &m.host).filter(|w| w.state != WorkerState::Gone);
         let avoided = |w: &&Host| w.state == WorkerState::Draining || self.dispatcher.avoids(now, &w.name);
         Figures {
             downstream_requests,
@@ -203,6 +217,7 @@
             config_reloads: self.reloads,
             config_reload_errors: self.reload_errors,
             ledger: self.durable.as_ref().map(Durable::figures),
+            facts: self.fact_figures(now),
         }
     }
 
@@ -281,6 +296,7 @@
                 self.names = names;
                 if let Some((settings, like)) = settings {
                     self.tick = settings.tick;
+                    self.kinds = kinds(&settings, self.effects.len());
                     self.effects.extend(settings.classes.iter().map(|c| c.effect));
                     self.ends.resize(self.ends.len() + settings.classes.len(), Ends::default());
                     self.decide(now, Event::Retuned { settings, like }, out);
@@ -305,6 +321,7 @@
             Input::Stored { bytes } => self.stored(bytes, out),
             Input::StoreFailed => self.store_failed(out),
             Input::Released => self.durable = None,
+            Input::Offered(offered) => self.offered(now, offered, out),
             Input::Answered { job } => self.record(Record::Answered { job }, out),
         }
     }
@@ -330,13 +347,13 @@
                 self.set_timer(now + after.max(self.tick), Timer::Module(token))
             }
             Action::Probe { worker } => {
-                if let Some(host) = self.workers.get(&worker.0) {
+                if let Some(Member { host, .. }) = self.workers.get(&worker.0) {
                     let (worker, addr, until) = (worker.0, host.addr, now + PROBE_WAIT);
                     out.push(Effect::Probe { worker, addr, until });
                 }
             }
             Action::Close { worker } => {
-                out.extend(self.workers.get(&worker.0).map(|h| Effect::CloseIdle { addr: h.addr }));
+                out.extend(self.workers.get(&worker.0).map(|m| Effect::CloseIdle { addr: m.host.addr }));
             }
             Action::Tell { peer, data } => out.push(Effect::Tell { peer, data }),
             Action::Subscribe => {
@@ -374,8 +391,16 @@
                 }
                 Timer::JoinedOverdue(ticket) => self.joined_overdue(ticket, out),
                 Timer::LeaseEnds(attempt) => self.lease_ends(now, attempt, out),
+                Timer::Slice => self.next_slice(now, out),
+                Timer::Unbar(worker) => self.unbar(now, worker, out),
             }
         }
         self.expire(now, out);
     }
 }
+
+/// The classes that need a kind of machine, numbered from `first`, and which.
+fn kinds(settings: &Settings, first: usize) -> Vec<(u32, u32)> {
+    let classes = settings.classes.iter().enumerate();
+    classes.filter_map(|(i, c)| Some(((first + i) as u32, c.kind?))).collect()
+}
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -1,7 +1,123 @@
-//! The workers: what the list says of them.
-use crate::{Core, Effect, Host};
-use oatdock::{Entry, Event, ListScope, Nanos, WorkerState};
+//! The workers: what the list says of them, what files add to it, and what the module is told.
+//!
+//! The list is the one authority on who is there: state, start and address come from nowhere else, and a host that it has
+//! not named gets nothing. Files ([`Sheet`]) only fill what the list leaves open, and the weight where that is set so.
+//!
+//! **Large changes go to the module in slices**, so that no job waits for a list: of more than [`SLICE`] hosts the rest is
+//! taken a slice at a time, [`BETWEEN`] apart, and other inputs pass between. What drains, is gone or has just started goes
+//! first.
+//!
+//! **Pods and zones that change are nobody's for a while.** Repeats of a keyed job are dropped within its worker's pod or
+//! zone, for the class's window. A worker that another file puts elsewhere may hold jobs of the place before: until the
+//! longest window is over it is in a pod, or zone, of its own. So is one of which nothing is known.
+use crate::types::{FactFigures, HostView, Offered};
+use crate::{Core, Effect, Host, MS, Timer};
+use oatdock::{Effect as Repeating, Entry, Event, ListScope, Nanos, WorkerState};
+use rustc_hash::{FxHashMap, FxHashSet};
+use settings::position;
+use spanlead_facts::{LiveHost, Sheet, normal, provenance};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Hosts that are taken at once. A slice of them takes well under a millisecond.
+const SLICE: usize = 512;
+/// The pause between slices.
+const BETWEEN: Nanos = MS;
+/// Numbers of pods below are the list's own; from here on they are those that files name by words, and from
+/// [`OWN`] on those of single workers.
+const NAMED: u32 = 1 << 30;
+const OWN: u32 = 1 << 31;
+/// The number of a name that the settings don't have, and of a pod that another process would not know.
+pub(crate) const UNKNOWN: u32 = u32::MAX;
+
+/// A worker.
+pub(crate) struct Member {
+    /// As the list has it.
+    pub host: Host,
+    /// What the module was told of it last.
+    pub told: Option<Told>,
+    /// The name by which files know it.
+    normal: Option<Arc<str>>,
+    /// Its number where it must be told apart from all others.
+    own: u32,
+    /// The pod and zone that it was last known to be in, and until when it is in none.
+    pod: Place,
+    zone: Place,
+    /// Since when the list says of it what it says, and since when it is gone from there.
+    since: Nanos,
+    gone: Option<Nanos>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Place {
+    last: Option<u32>,
+    barred: Nanos,
+}
+
+impl Place {
+    /// Where it counts as standing: `now_in` is what is known, `own` its place apart from all others.
+    fn settle(&mut self, now: Nanos, now_in: Option<u32>, own: u32, window: Nanos) -> u32 {
+        let Some(place) = now_in else { return own };
+        if self.last.is_some_and(|last| last != place) {
+            self.barred = now + window;
+        }
+        self.last = Some(place);
+        if now < self.barred { own } else { place }
+    }
+}
+
+/// What the module knows of a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Told {
+    pub state: WorkerState,
+    started: Option<Nanos>,
+    kind: u32,
+    pub zone: u32,
+    pub cell: u32,
+    weight: f64,
+}
+
+impl Told {
+    fn entry(self, worker: &str) -> Entry<'_> {
+        let Told { state, started, kind, zone, cell, weight } = self;
+        Entry { worker, state, started, kind, zone, cell, weight }
+    }
+
+    /// The pod as another process would know it.
+    pub fn lasting_cell(self) -> u32 {
+        if self.cell < NAMED { self.cell } else { UNKNOWN }
+    }
+}
+
+/// What is still to be taken, and what files say.
+#[derive(Default)]
+pub(crate) struct Facts {
+    /// Hosts of the list that were not looked at yet.
+    incoming: VecDeque<Host>,
+    /// Workers of which files may say something else now.
+    again: VecDeque<Arc<str>>,
+    /// A slice's timer is set.
+    waiting: bool,
+    /// What files say; `None` as long as there are none.
+    sheet: Option<Arc<Sheet>>,
+    /// The numbers of pods that files name by words.
+    pods: FxHashMap<Arc<str>, u32>,
+    /// Workers so far.
+    members: u32,
+}
+
+impl Facts {
+    fn pod(&mut self, name: &Arc<str>) -> u32 {
+        match name.parse::<u32>() {
+            Ok(number) if number < NAMED => number,
+            _ => {
+                let next = NAMED + self.pods.len() as u32 % (OWN - NAMED);
+                *self.pods.entry(name.clone()).or_insert(next)
+            }
+        }
+    }
+}
 
 impl Core {
     /// Goes on with the list at another address. For the module the watch just goes on: a call at the old address
@@ -13,35 +129,279 @@
         }
     }
 
+    /// Takes news of the list, at once or, if there are many, their first slice.
     pub(crate) fn list(&mut self, now: Nanos, scope: ListScope, hosts: Vec<Host>, out: &mut Vec<Effect>) {
+        let mut gone = Vec::new();
         if matches!(scope, ListScope::Full | ListScope::Cached) {
-            for host in self.workers.values_mut() {
-                if !hosts.iter().any(|h| h.name == host.name) {
-                    host.state = WorkerState::Gone;
-                }
+            let named: FxHashSet<&str> = hosts.iter().map(|h| &*h.name).collect();
+            let missing = |(name, m): &(&Arc<str>, &Member)| {
+                m.host.state != WorkerState::Gone && !named.contains(&***name)
+            };
+            gone.extend(self.workers.iter().filter(missing).map(|(name, _)| name.clone()));
+            self.facts.incoming.clear();
+        } else if !self.facts.incoming.is_empty() {
+            let named: FxHashSet<&str> = hosts.iter().map(|h| &*h.name).collect();
+            self.facts.incoming.retain(|h| !named.contains(&*h.name));
+        }
+        let large = hosts.len() > SLICE;
+        self.facts.incoming.extend(hosts);
+        if large {
+            // Stable: of what the list names twice, the last word stays the last.
+            let urgency = |h: &Host| (h.state == WorkerState::Ready, std::cmp::Reverse(h.started));
+            self.facts.incoming.make_contiguous().sort_by_key(urgency);
+        }
+        let mut entries = Vec::new();
+        for name in gone {
+            let Some(member) = self.workers.get_mut(&name) else { continue };
+            member.host.state = WorkerState::Gone;
+            member.gone = Some(now);
+            if let Some(told) = &mut member.told {
+                told.state = WorkerState::Gone;
+                entries.push((name, *told));
             }
         }
-        for host in &hosts {
-            let old = self.workers.insert(host.name.clone(), host.clone());
-            // A connection to a process that was replaced or removed only waits to be reset under a request.
-            let changed = |o: &Host| o.started != host.started || o.addr != host.addr;
-            if let Some(old) = old.filter(|o| changed(o) || host.state == WorkerState::Gone) {
-                out.push(Effect::CloseIdle { addr: old.addr });
+        // Who is not in a whole list was told above; the rest of it are changes.
+        let scope = if scope == ListScope::Full { ListScope::Changes } else { scope };
+        self.slice(now, scope, entries, out);
+    }
+
+    /// Takes the next hosts and tells the module what is new of them.
+    fn slice(
+        &mut self,
+        now: Nanos,
+        scope: ListScope,
+        mut entries: Vec<(Arc<str>, Told)>,
+        out: &mut Vec<Effect>,
+    ) {
+        for _ in 0..SLICE {
+            let name = match self.facts.incoming.pop_front() {
+                Some(host) => self.hear(now, host, out),
+                None => match self.facts.again.pop_front() {
+                    Some(name) => name,
+                    None => break,
+                },
+            };
+            if let Some(told) = self.look_again(now, &name) {
+                entries.push((name, told));
             }
         }
-        let entries: Vec<Entry<'_>> = hosts.iter().map(entry).collect();
+        let more = !self.facts.incoming.is_empty() || !self.facts.again.is_empty();
+        if more && !self.facts.waiting {
+            self.facts.waiting = true;
+            self.set_timer(now + BETWEEN, Timer::Slice);
+        }
+        let entries: Vec<Entry<'_>> = entries.iter().map(|(name, told)| told.entry(name)).collect();
         self.decide(now, Event::Members { scope, entries: &entries }, out);
     }
+
+    /// The pause between two slices is over.
+    pub(crate) fn next_slice(&mut self, now: Nanos, out: &mut Vec<Effect>) {
+        self.facts.waiting = false;
+        self.slice(now, ListScope::Changes, Vec::new(), out);
+    }
+
+    /// Notes what the list says of a host.
+    fn hear(&mut self, now: Nanos, host: Host, out: &mut Vec<Effect>) -> Arc<str> {
+        let (name, state) = (host.name.clone(), host.state);
+        match self.workers.get_mut(&name) {
+            Some(member) => {
+                // A connection to a process that was replaced or removed only waits to be reset under a request.
+                let replaced = member.host.started != host.started || member.host.addr != host.addr;
+                if replaced || state == WorkerState::Gone {
+                    out.push(Effect::CloseIdle { addr: member.host.addr });
+                }
+                let facts = |h: &Host| (h.zone, h.cell, h.kind, h.weight);
+                if facts(&member.host) != facts(&host) || member.gone.is_some() {
+                    member.since = now;
+                }
+                member.gone = (state == WorkerState::Gone).then(|| member.gone.unwrap_or(now));
+                member.host = host;
+            }
+            None => {
+                let gone = (state == WorkerState::Gone).then_some(now);
+                let own = OWN + self.facts.members;
+                self.facts.members = (self.facts.members + 1) % (UNKNOWN - OWN);
+                let (pod, zone) = (Place::default(), Place::default());
+                let member = Member { host, told: None, normal: None, own, pod, zone, since: now, gone };
+                self.workers.insert(name.clone(), member);
+            }
+        }
+        name
+    }
+
+    /// What the module must be told of a worker, if that is anything new.
+    fn look_again(&mut self, now: Nanos, name: &Arc<str>) -> Option<Told> {
+        let window = self.window();
+        let member = self.workers.get_mut(name)?;
+        let host = &member.host;
+        let known = |number: Option<u32>| number.filter(|n| *n != UNKNOWN);
+        let (mut zone, mut kind) = (known(host.zone), known(host.kind));
+        let (mut pod, mut weight) = (host.cell.filter(|c| *c < NAMED), host.weight);
+        if let Some(sheet) = self.facts.sheet.clone() {
+            let normal = &**member.normal.get_or_insert_with(|| normal_name(name));
+            let said = |words: &[String], word: Option<&Arc<str>>| word.and_then(|w| position(words, w));
+            zone = zone.or_else(|| said(&self.names.zones, sheet.zone(normal)?.value));
+            let default = || said(&self.names.kinds, sheet.defaults.kind.as_ref());
+            kind = kind.or_else(|| said(&self.names.kinds, sheet.kind(normal)?.value)).or_else(default);
+            pod = pod.or_else(|| Some(self.facts.pod(sheet.pod(normal)?.value?)));
+            let by_file = sheet.weight(normal);
+            let first = by_file.is_some_and(|f| sheet.sources[f.source].weight_first);
+            let by_file = by_file.and_then(|f| f.value.copied());
+            weight = if first { by_file.or(weight) } else { weight.or(by_file) }.or(sheet.defaults.weight);
+        }
+        let before = (member.pod.barred, member.zone.barred);
+        let told = Told {
+            state: host.state,
+            started: host.started,
+            kind: kind.unwrap_or(UNKNOWN),
+            zone: member.zone.settle(now, zone, member.own, window),
+            cell: member.pod.settle(now, pod, member.own, window),
+            weight: weight.unwrap_or(1.0),
+        };
+        let barred = (member.pod.barred, member.zone.barred);
+        let new = member.told != Some(told);
+        member.told = Some(told);
+        if barred != before {
+            self.set_timer(barred.0.max(barred.1), Timer::Unbar(name.clone()));
+        }
+        new.then_some(told)
+    }
+
+    /// A worker's pod and zone are its own no longer.
+    pub(crate) fn unbar(&mut self, now: Nanos, name: Arc<str>, out: &mut Vec<Effect>) {
+        if let Some(told) = self.look_again(now, &name) {
+            let entry = [told.entry(&name)];
+            self.decide(now, Event::Members { scope: ListScope::Changes, entries: &entry }, out);
+        }
+    }
+
+    /// The longest time for which repeats of some class are dropped.
+    fn window(&self) -> Nanos {
+        let window = |e: &Repeating| if let Repeating::Keyed { ttl, .. } = e { *ttl } else { 0 };
+        self.effects.iter().map(window).max().unwrap_or(0)
+    }
+
+    /// Files say something else from now on. If a class that has a worker would have none by it, nothing changes, unless an
+    /// operator wants it all the same.
+    pub(crate) fn offered(&mut self, now: Nanos, offered: Offered, out: &mut Vec<Effect>) {
+        let Offered { sheet, by, forced } = offered;
+        if !forced && let Some(why) = self.without_worker(&sheet) {
+            if let Some((name, number)) = by {
+                out.push(Effect::FactsRefused { name, number, why });
+            }
+            return;
+        }
+        self.facts.sheet = Some(sheet).filter(|s| !s.is_empty());
+        self.facts.again = self.workers.keys().cloned().collect();
+        self.slice(now, ListScope::Changes, Vec::new(), out);
+    }
+
+    /// The class that has a worker now and would have none by this sheet.
+    fn without_worker(&self, sheet: &Sheet) -> Option<String> {
+        for (class, kind) in &self.kinds {
+            let kind_by = |m: &Member| {
+                let listed = m.host.kind.filter(|k| *k != UNKNOWN);
+                let name = normal_name(&m.host.name);
+                let said = || sheet.kind(&name)?.value.or(sheet.defaults.kind.as_ref()).cloned();
+                listed.or_else(|| position(&self.names.kinds, &said()?))
+            };
+            let ready = || self.workers.values().filter(|m| m.host.state == WorkerState::Ready);
+            let now = ready().any(|m| m.told.is_some_and(|t| t.kind == *kind));
+            if now && !ready().any(|m| kind_by(m) == Some(*kind)) {
+                let (class, kind) = (&self.names.classes[*class as usize], &self.names.kinds[*kind as usize]);
+                return Some(format!("class {class} would be left without a worker of kind {kind}"));
+            }
+        }
+        None
+    }
+
+    /// Whether slices of a large change are still to come.
+    pub fn taking_in(&self) -> bool {
+        self.facts.waiting
+    }
+
+    /// What files say.
+    pub fn sheet(&self) -> Option<&Arc<Sheet>> {
+        self.facts.sheet.as_ref()
+    }
+
+    /// The live list with names for numbers, to compare it with what files say.
+    pub fn live_hosts(&self) -> Vec<LiveHost> {
+        // Zones and kinds are few: each name is made once.
+        let words = |names: &[String]| names.iter().map(|n| Arc::from(n.as_str())).collect::<Vec<Arc<str>>>();
+        let (zones, kinds) = (words(&self.names.zones), words(&self.names.kinds));
+        let mut pods: FxHashMap<u32, Arc<str>> = FxHashMap::default();
+        let of = |words: &[Arc<str>], n: Option<u32>| words.get(n? as usize).cloned();
+        let live = |m: &Member| LiveHost {
+            name: m.host.name.clone(),
+            normal: m.normal.clone().unwrap_or_else(|| normal_name(&m.host.name)),
+            zone: of(&zones, m.host.zone),
+            pod: m.host.cell.map(|c| pods.entry(c).or_insert_with(|| c.to_string().into()).clone()),
+            kind: of(&kinds, m.host.kind),
+            weight: m.host.weight,
+            since_ms: m.since / MS,
+            gone_ms: m.gone.map(|at| at / MS),
+        };
+        self.workers.values().map(live).collect()
+    }
+
+    /// What is known of a worker that the list has named, and by whose word.
+    pub fn known_host(&self, now: Nanos, name: &str) -> Option<HostView> {
+        let wanted = normal(name).ok()?;
+        let member = self.workers.get(name).or_else(|| {
+            let here = |m: &&Member| normal(&m.host.name).is_ok_and(|n| n == wanted);
+            self.workers.values().find(here)
+        })?;
+        let word = |words: &[String], n: Option<u32>| words.get(n? as usize).map(|w| Arc::from(w.as_str()));
+        let host = &member.host;
+        let live = LiveHost {
+            name: host.name.clone(),
+            normal: normal_name(&host.name),
+            zone: word(&self.names.zones, host.zone),
+            pod: host.cell.map(|c| c.to_string().into()),
+            kind: word(&self.names.kinds, host.kind),
+            weight: host.weight,
+            since_ms: member.since / MS,
+            gone_ms: member.gone.map(|at| at / MS),
+        };
+        let empty = Sheet::default();
+        let sheet = self.facts.sheet.as_deref().unwrap_or(&empty);
+        let state = match host.state {
+            WorkerState::Ready => "ready",
+            WorkerState::Draining => "draining",
+            WorkerState::Gone => "gone",
+        };
+        let apart = [("pod", member.pod.barred), ("zone", member.zone.barred)];
+        let apart = apart.into_iter().filter(|(_, until)| now < *until).map(|(what, _)| what).collect();
+        Some(HostView { host: host.name.clone(), state, facts: provenance(&live, sheet), apart })
+    }
+
+    pub(crate) fn fact_figures(&self, now: Nanos) -> Option<FactFigures> {
+        let sheet = self.facts.sheet.as_ref()?;
+        let here = || self.workers.values().filter(|m| m.host.state != WorkerState::Gone);
+        let named = |m: &&Member| m.normal.as_ref().is_some_and(|n| sheet.names(n));
+        let apart = |m: &&Member| now < m.pod.barred.max(m.zone.barred);
+        Some(FactFigures {
+            inventories: sheet.sources.len(),
+            hosts: sheet.sources.iter().map(|s| s.version.rows.len()).sum(),
+            matched: here().filter(named).count(),
+            apart: here().filter(apart).count(),
+            pending: self.facts.incoming.len() + self.facts.again.len(),
+        })
+    }
+
+    /// A worker that the list doesn't name, as one that is gone: where an attempt of an earlier process was.
+    pub(crate) fn introduce_gone(&mut self, now: Nanos, host: Host, out: &mut Vec<Effect>) {
+        let name = self.hear(now, host, out);
+        self.unbar(now, name, out);
+    }
 }
 
-fn entry(host: &Host) -> Entry<'_> {
-    Entry {
-        worker: &host.name,
-        state: host.state,
-        started: host.started,
-        kind: host.kind,
-        zone: host.zone,
-        cell: host.cell,
-        weight: host.weight,
+/// The name by which files know a host; one that is no name in DNS is known as it is.
+fn normal_name(name: &Arc<str>) -> Arc<str> {
+    match normal(name) {
+        Ok(same) if same.len() == name.len() && *same == **name => name.clone(),
+        Ok(normal) => Arc::from(&*normal),
+        Err(_) => name.clone(),
     }
 }
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -47,7 +47,7 @@
         let known = tries.iter().all(|t| self.workers.contains_key(&t.worker));
         let attempts = tries.iter().filter_map(|t| {
             let stage = if t.ran.is_none() { Stage::Taken } else { Stage::Over };
-            let addr = self.workers.get(&t.worker)?.addr;
+            let addr = self.workers.get(&t.worker)?.host.addr;
             let (worker, may_have_run) = (t.worker.clone(), t.ran.unwrap_or(true));
             Some(Attempt { worker, addr, sent: t.sent, stage, may_have_run, token: None, leased: None })
         });
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -5,6 +5,7 @@
 use oatdock::{ListScope, Nanos, Outcome, Report, RequestId, Settings, WorkerState};
 use serde::{Deserialize, Serialize};
 use settings::Names;
+use spanlead_facts::{Known, Sheet};
 use spanlead_ledger::{JobNo, Record};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -58,17 +59,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct AttemptId(pub RequestId, pub u32);
 
-/// A worker as the list names it.
+/// A worker as the list names it; `None` is what the list doesn't say.
 #[derive(Clone, Debug)]
 pub struct Host {
     pub name: Arc<str>,
     pub addr: SocketAddr,
     pub state: WorkerState,
     pub started: Option<Nanos>,
-    pub kind: u32,
-    pub zone: u32,
-    pub cell: u32,
-    pub weight: f64,
+    pub kind: Option<u32>,
+    pub zone: Option<u32>,
+    pub cell: Option<u32>,
+    pub weight: Option<f64>,
+}
+
+/// What files say of workers, from now on.
+#[derive(Debug)]
+pub struct Offered {
+    pub sheet: Arc<Sheet>,
+    /// The inventory, and its version, by which this came.
+    pub by: Option<(Arc<str>, u64)>,
+    /// An operator wants it, whatever it does.
+    pub forced: bool,
 }
 
 /// How the exchange that hands an attempt to its worker ended.
@@ -182,6 +193,8 @@
     Answered {
         job: JobNo,
     },
+    /// Files say something else of workers.
+    Offered(Offered),
 }
 
 /// What a worker's notice is answered.
@@ -243,6 +256,34 @@
     /// The ledger, where there is one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ledger: Option<LedgerFigures>,
+    /// What files say of workers, where there are any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub facts: Option<FactFigures>,
+}
+
+/// What operators are shown of the facts that come from files.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct FactFigures {
+    /// Inventories in use, and hosts that they name.
+    pub inventories: usize,
+    pub hosts: usize,
+    /// Workers in the list that a file names too.
+    pub matched: usize,
+    /// Workers whose pod or zone has changed, and which are in none of them until no repeat can go wrong.
+    pub apart: usize,
+    /// Workers of which news is still to be taken in.
+    pub pending: usize,
+}
+
+/// What is known of one worker.
+#[derive(Clone, Debug, Serialize)]
+pub struct HostView {
+    pub host: Arc<str>,
+    pub state: &'static str,
+    pub facts: Vec<Known>,
+    /// What of it has changed and counts as its own alone, until no repeat can go wrong.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub apart: Vec<&'static str>,
 }
 
 /// What the reducer wants done.
@@ -310,4 +351,10 @@
         addr: SocketAddr,
     },
     Log(String),
+    /// This version of an inventory can't be used, and why.
+    FactsRefused {
+        name: Arc<str>,
+        number: u64,
+        why: String,
+    },
 }
--- a/crates/core/tests/bounds.rs
+++ b/crates/core/tests/bounds.rs
@@ -37,7 +37,16 @@
         let mut world = World { core, log, now, asks: 0, most: 0 };
         let name: Arc<str> = "s-a".into();
         let state = WorkerState::Ready;
-        let host = Host { name, addr, state, started: None, kind: 0, zone: 0, cell: 0, weight: 1.0 };
+        let host = Host {
+            name,
+            addr,
+            state,
+            started: None,
+            kind: Some(0),
+            zone: Some(0),
+            cell: Some(0),
+            weight: None,
+        };
         world.step(Input::List { scope: ListScope::Full, version: 1, hosts: vec![host] });
         let anchor = Anchor { boot: "b".into(), up: now, clock: now };
         let (lease, clock_bound, segment) = (10 * SEC, SEC, SEGMENT);
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -273,10 +273,10 @@
             addr: addr(i as u16),
             state: WorkerState::Ready,
             started: None,
-            kind: 0,
-            zone: 0,
-            cell: w.cell,
-            weight: 1.0,
+            kind: Some(0),
+            zone: Some(0),
+            cell: Some(w.cell),
+            weight: None,
         };
         let hosts = self.workers.iter().enumerate().map(host).collect();
         self.step(Input::List { scope: ListScope::Cached, version: 1, hosts });
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -17,8 +17,10 @@
 const WAIT: Duration = Duration::from_secs(4);
 /// How much later than that the answer may come; discovery works through its calls one by one.
 const LATE: Duration = Duration::from_secs(2);
-/// The longest list that is read: a few hundred bytes for each of thousands of workers.
-const MAX_LIST: usize = 4 << 20;
+/// The longest list that is read: a few hundred bytes for each of tens of thousands of workers.
+const MAX_LIST: usize = 16 << 20;
+/// A longer list is decoded on a thread of its own: jobs must not wait for it.
+const LARGE: usize = 64 << 10;
 
 /// Discovery as one scheduler sees it: where it is, and the version of its list that is held.
 pub struct Discovery {
@@ -28,6 +30,20 @@
     pub to: UnboundedSender<Message>,
 }
 
+/// An answer of discovery.
+struct Answer {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<Host>,
+}
+
+impl Answer {
+    fn read(body: &[u8], names: &Names) -> Option<Self> {
+        let list = List::read(body)?;
+        Some(Answer { seq: list.seq, whole: list.whole, hosts: list.hosts(names) })
+    }
+}
+
 impl Discovery {
     /// Watches for changes until a call fails, which is told as such: the module decides when to ask again.
     pub async fn watch(mut self) {
@@ -48,9 +64,8 @@
             }
             self.version = list.seq;
             let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
-            let hosts = list.hosts(&self.names.borrow());
-            if first || scope == ListScope::Full || !hosts.is_empty() {
-                self.tell(scope, hosts);
+            if first || scope == ListScope::Full || !list.hosts.is_empty() {
+                self.tell(scope, list.hosts);
             }
             (wait, first, whole) = (WAIT, false, false);
         }
@@ -63,8 +78,7 @@
         match self.call(&mut None, wire::whole_list(), Instant::now() + LATE).await {
             Some(list) => {
                 self.version = list.seq;
-                let hosts = list.hosts(&self.names.borrow());
-                self.tell(ListScope::Full, hosts);
+                self.tell(ListScope::Full, list.hosts);
             }
             None => self.tell(ListScope::Failed, Vec::new()),
         }
@@ -75,14 +89,21 @@
         connection: &mut Option<Connection>,
         call: Option<Request<Body>>,
         until: Instant,
-    ) -> Option<List> {
+    ) -> Option<Answer> {
         let mut open = match connection.take() {
             Some(open) => open,
             None => connect(self.addr, until, None).await.ok()?,
         };
         let (status, _, body) = open.exchange(call?, until, MAX_LIST).await.ok()?;
         *connection = Some(open);
-        List::read(&body).filter(|_| status == StatusCode::OK)
+        if status != StatusCode::OK {
+            return None;
+        }
+        let names = self.names.borrow().clone();
+        if body.len() <= LARGE {
+            return Answer::read(&body, &names);
+        }
+        tokio::task::spawn_blocking(move || Answer::read(&body, &names)).await.ok()?
     }
 
     fn tell(&self, scope: ListScope, hosts: Vec<Host>) {
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use settings::{Figures, Names, Reports, position};
 use spanlead_core::{Answer, Figures as Shown, Host, Job, Mark, News, Offer, Reply as NoticeReply};
+use spanlead_facts::{LiveHost, normal};
 use std::sync::Arc;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -225,11 +226,17 @@
 // ---------------------------------------------------------------- operators
 
 /// What operators ask for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum OperatorCall {
     Readiness,
     Stats,
     Drain(bool),
+    /// How the inventories stand, and where they differ from the live list.
+    Inventories,
+    /// What is known of a host, and by whose word.
+    Host(String),
+    /// The version of that inventory, with that digest, is to be used all the same.
+    Accept(String, String),
 }
 
 /// What they are told.
@@ -238,6 +245,10 @@
     Yes,
     No(&'static str),
     Figures(Box<Shown>),
+    /// JSON, already written.
+    Json(Vec<u8>),
+    /// It can't be done.
+    Refused(String),
 }
 
 /// Reads an operator's call.
@@ -247,7 +258,17 @@
         "/ops/stats" => (Method::GET, OperatorCall::Stats),
         "/ops/drain/start" => (Method::POST, OperatorCall::Drain(true)),
         "/ops/drain/stop" => (Method::POST, OperatorCall::Drain(false)),
-        _ => return Err(Rejected(StatusCode::NOT_FOUND, "no such call")),
+        "/ops/inventory" => (Method::GET, OperatorCall::Inventories),
+        _ => {
+            let parts: Vec<&str> = path.split('/').skip(1).collect();
+            match parts[..] {
+                ["ops", "inventory", "hosts", host] => (Method::GET, OperatorCall::Host(host.to_owned())),
+                ["ops", "inventory", name, "accept", digest] => {
+                    (Method::POST, OperatorCall::Accept(name.to_owned(), digest.to_owned()))
+                }
+                _ => return Err(Rejected(StatusCode::NOT_FOUND, "no such call")),
+            }
+        }
     };
     let other = Rejected(StatusCode::METHOD_NOT_ALLOWED, "this call has another method");
     (*method == wanted).then_some(call).ok_or(other)
@@ -259,16 +280,20 @@
         OperatorReply::Yes => plain(StatusCode::OK, "yes\n"),
         OperatorReply::No(why) => plain(StatusCode::SERVICE_UNAVAILABLE, why),
         OperatorReply::Figures(figures) => match serde_json::to_vec(&figures) {
-            Ok(text) => {
-                let mut response = plain(StatusCode::OK, text);
-                response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-                response
-            }
+            Ok(text) => json(text),
             Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "the figures can't be written\n"),
         },
+        OperatorReply::Json(text) => json(text),
+        OperatorReply::Refused(why) => plain(StatusCode::CONFLICT, format!("{why}\n")),
     }
 }
 
+fn json(text: Vec<u8>) -> Response<Body> {
+    let mut response = plain(StatusCode::OK, text);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 // ---------------------------------------------------------------- workers
 
 /// A worker's notice of a job.
@@ -408,15 +433,11 @@
 struct Row {
     host: String,
     dial: String,
-    #[serde(default)]
-    site: String,
-    #[serde(default)]
-    class: String,
-    #[serde(default)]
-    block: u32,
+    site: Option<String>,
+    class: Option<String>,
+    block: Option<u32>,
     health: Health,
-    #[serde(default = "one")]
-    share: f64,
+    share: Option<f64>,
     #[serde(default)]
     born_ms: u64,
 }
@@ -429,10 +450,6 @@
     Left,
 }
 
-fn one() -> f64 {
-    1.0
-}
-
 impl List {
     /// Reads discovery's answer.
     pub fn read(body: &[u8]) -> Option<Self> {
@@ -441,7 +458,11 @@
 
     /// Its entries; one without a usable address can't be reached and is left out.
     pub fn hosts(self, names: &Names) -> Vec<Host> {
-        let number = |names: &[String], name: &str| position(names, name).unwrap_or(u32::MAX);
+        // What is named but not known to the settings is told apart from what isn't said.
+        let number = |names: &[String], name: Option<String>| {
+            let name = name.filter(|n| !n.is_empty())?;
+            Some(position(names, &name).unwrap_or(u32::MAX))
+        };
         let host = |row: Row| {
             let Ok(addr) = row.dial.parse() else {
                 tracing::warn!(worker = %row.host, dial = row.dial, "worker without a usable address");
@@ -456,8 +477,8 @@
                 },
                 // The scheduler's clock is anchored to the wall clock at its start: see `crate::Clock`.
                 started: Some(row.born_ms * 1_000_000).filter(|t| *t > 0),
-                kind: number(&names.kinds, &row.class),
-                zone: number(&names.zones, &row.site),
+                kind: number(&names.kinds, row.class),
+                zone: number(&names.zones, row.site),
                 cell: row.block,
                 weight: row.share,
                 name: Arc::from(row.host),
@@ -465,6 +486,23 @@
         };
         self.hosts.into_iter().filter_map(host).collect()
     }
+
+    /// Its entries that are there, with what it says of them, to compare with what files say.
+    pub fn live_hosts(self) -> Vec<LiveHost> {
+        let here = self.hosts.into_iter().filter(|row| !matches!(row.health, Health::Left));
+        let word = |word: Option<String>| word.filter(|w| !w.is_empty()).map(Arc::from);
+        let live = |row: Row| LiveHost {
+            normal: normal(&row.host).map_or_else(|_| Arc::from(&*row.host), |n| Arc::from(&*n)),
+            name: Arc::from(row.host),
+            zone: word(row.site),
+            pod: row.block.map(|b| Arc::from(b.to_string())),
+            kind: word(row.class),
+            weight: row.share,
+            since_ms: row.born_ms,
+            gone_ms: None,
+        };
+        here.map(live).collect()
+    }
 }
 
 /// The call for the whole list.
--- a/crates/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -176,6 +176,11 @@
         Self::checked(file, keys)
     }
 
+    /// The list of workers in that file, as it stands there.
+    pub fn known_list() -> Result<wire::List, ConfigError> {
+        Ok(File::read()?.0.known)
+    }
+
     /// Reads and checks the same file again, after it was replaced; `keys` are those of the one in use, none of which it
     /// may lack. Its `discovery` goes before `$ROUTER_DISCOVERY` here, which is as old as the process.
     pub fn again(keys: &Keys) -> Result<Self, ConfigError> {
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -8,8 +8,10 @@
 use settings::{Deployment, Names, Reports};
 use spanlead_conf as conf;
 use spanlead_core::{
-    Answer, AttemptId, Core, Durability, Effect, Gate, Handover, Input, Passage, Reply, Tale,
+    Answer, AttemptId, Core, Durability, Effect, Gate, Handover, Input, Offered, Passage, Reply, Tale,
 };
+use spanlead_facts::{Report, Vocabulary, reconcile};
+use spanlead_inventory::desk::{Desk, News, Status};
 use spanlead_ledger::Record;
 use spanlead_net::clients::{self, Arrival, Front, Line};
 use spanlead_net::discovery::Discovery;
@@ -41,6 +43,20 @@
 /// How long the last connections may take to close at the end.
 const LAST_CLOSE: Duration = Duration::from_secs(1);
 
+/// Findings that one answer to an operator shows; the others are counted.
+const MAX_FINDINGS: usize = 1000;
+
+/// How the inventories stand.
+#[derive(serde::Serialize)]
+struct Overview {
+    inventories: Vec<Status>,
+    report: Report,
+}
+
+fn vocabulary(names: &Names) -> Vocabulary {
+    Vocabulary { zones: Some(names.zones.clone()), kinds: Some(names.kinds.clone()) }
+}
+
 /// A notice, and who waits for what it is answered.
 type Heard = (Notice, Option<oneshot::Sender<Reply>>);
 
@@ -80,6 +96,8 @@
     leaving: Vec<oneshot::Receiver<Reply>>,
     /// The ledger, if one is wanted.
     ledger: Option<Ledger>,
+    /// The inventories, if there are any.
+    desk: Option<Desk>,
     /// Who waits for the answers to workers' notices.
     notes: HashMap<u64, oneshot::Sender<Reply>>,
     note: u64,
@@ -154,6 +172,13 @@
     if let Some(settings) = conf.ledger {
         ledger::open(settings, clock, predecessor.is_some(), to.clone());
     }
+    let desk = (!conf.inventories.is_empty()).then(|| {
+        let to = to.clone();
+        let tell = move |News { sheet, by, forced }| {
+            let _ = to.send(Message::Input(Input::Offered(Offered { sheet, by, forced })));
+        };
+        Desk::start(conf.inventories, vocabulary(&deployment.names), tell)
+    });
     let ledger = marks.then(|| Ledger {
         stage: Stage::Opening,
         store: None,
@@ -188,6 +213,7 @@
         released: HashMap::new(),
         leaving: Vec::new(),
         ledger,
+        desk,
         notes: HashMap::new(),
         note: 0,
         broken: None,
@@ -274,17 +300,57 @@
                 }
                 tracing::info!(%discovery, settings = settings.is_some(), "configuration read again");
                 self.step(Input::Reloaded { discovery, settings, names });
+                if let Some(desk) = &self.desk {
+                    desk.vocabulary(vocabulary(&self.names.borrow()));
+                }
             }
             Err(error) => {
                 tracing::error!("the new configuration is not used: {error}");
                 self.step(Input::Unreadable);
+                self.desk.iter().for_each(Desk::look);
             }
         }
     }
 
     /// Does what an operator asks.
     fn operate(&mut self, Asked { call, reply }: Asked) {
+        let call = match (call, &self.desk) {
+            (OperatorCall::Inventories | OperatorCall::Accept(..), None) => {
+                let _ = reply.send(OperatorReply::Refused("no inventory is set".into()));
+                return;
+            }
+            // What takes its time is not done where jobs are decided.
+            (OperatorCall::Inventories, Some(desk)) => {
+                let (desk, live) = (desk.clone(), self.core.live_hosts());
+                let (sheet, now) = (self.core.sheet().cloned().unwrap_or_default(), self.clock.now());
+                tokio::task::spawn_blocking(move || {
+                    let report = reconcile(&live, &sheet, now / 1_000_000, MAX_FINDINGS);
+                    let text = serde_json::to_vec(&Overview { inventories: desk.status(), report });
+                    let _ = reply.send(
+                        text.map_or_else(|e| OperatorReply::Refused(e.to_string()), OperatorReply::Json),
+                    );
+                });
+                return;
+            }
+            (OperatorCall::Accept(name, digest), Some(desk)) => {
+                let desk = desk.clone();
+                tokio::task::spawn_blocking(move || {
+                    let done = desk
+                        .accept(&name, &digest)
+                        .map(|said| serde_json::json!({ "done": said }).to_string());
+                    let done = done.map(String::into_bytes);
+                    let _ = reply.send(done.map_or_else(OperatorReply::Refused, OperatorReply::Json));
+                });
+                return;
+            }
+            (call, _) => call,
+        };
         let answer = match call {
+            OperatorCall::Inventories | OperatorCall::Accept(..) => OperatorReply::No("ending\n"),
+            OperatorCall::Host(host) => match self.core.known_host(self.clock.now(), &host) {
+                Some(view) => OperatorReply::Json(serde_json::to_vec(&view).unwrap_or_default()),
+                None => OperatorReply::Refused(format!("the live list has not named {host:?}")),
+            },
             OperatorCall::Readiness if self.core.serves() => OperatorReply::Yes,
             OperatorCall::Readiness => {
                 OperatorReply::No("no worker is known, the ledger can't be used, or the process is ending\n")
@@ -583,6 +649,11 @@
             }
             Effect::FetchList { addr } => drop(tokio::spawn(self.discovery(addr, 0).fetch())),
             Effect::Log(text) => tracing::info!("{text}"),
+            Effect::FactsRefused { name, number, why } => {
+                if let Some(desk) = &self.desk {
+                    desk.object(name, number, why);
+                }
+            }
             Effect::Acknowledge { note, reply } => {
                 let _ = self.notes.remove(&note).map(|heard| heard.send(reply));
             }
--- a/crates/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -1,6 +1,7 @@
 //! The real scheduler: `oatdock`'s decisions on sockets.
 mod config;
 mod driver;
+mod inventory;
 mod ledger;
 mod trial;
 
@@ -30,6 +31,9 @@
     /// Look at a ledger's folder at rest, or compact it.
     #[command(subcommand)]
     Ledger(LedgerCommand),
+    /// Check, show, compare and convert inventories, or look at those of a serving scheduler.
+    #[command(subcommand)]
+    Inventory(inventory::InventoryCommand),
     /// Print the version.
     Version,
 }
@@ -82,6 +86,7 @@
         Command::Ledger(LedgerCommand::Verify { folder }) => ledger::verify(&folder),
         Command::Ledger(LedgerCommand::Export { folder, jobs }) => ledger::export(&folder, jobs),
         Command::Ledger(LedgerCommand::Compact { folder, keep }) => ledger::compact(&folder, keep),
+        Command::Inventory(command) => command.run(),
         Command::Version => {
             println!("spanlead {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -143,6 +148,9 @@
     let shares = config.shares;
     println!("clients    {} connections, {} requests at a time", shares.clients, shares.open);
     println!("to workers {} connections", shares.workers);
+    for inventory in &conf.inventories {
+        println!("inventory  {} from {}", inventory.name, inventory.file.display());
+    }
     if let Some(ledger) = conf.ledger {
         let show = humantime::format_duration;
         println!("ledger     {}, leases of {}", ledger.folder.display(), show(ledger.lease));
