--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -140,16 +140,18 @@
             gone.extend(self.workers.iter().filter(missing).map(|(name, _)| name.clone()));
             self.facts.incoming.clear();
         } else if !self.facts.incoming.is_empty() {
+            // What is still to be taken of these hosts is old.
             let named: FxHashSet<&str> = hosts.iter().map(|h| &*h.name).collect();
             self.facts.incoming.retain(|h| !named.contains(&*h.name));
         }
-        let large = hosts.len() > SLICE;
-        self.facts.incoming.extend(hosts);
-        if large {
+        let mut hosts = hosts;
+        if hosts.len() > SLICE {
             // Stable: of what the list names twice, the last word stays the last.
-            let urgency = |h: &Host| (h.state == WorkerState::Ready, std::cmp::Reverse(h.started));
-            self.facts.incoming.make_contiguous().sort_by_key(urgency);
+            hosts.sort_by_key(|h| (h.state == WorkerState::Ready, std::cmp::Reverse(h.started)));
         }
+        // News goes before what is left of an older list.
+        let older = std::mem::replace(&mut self.facts.incoming, hosts.into());
+        self.facts.incoming.extend(older);
         let mut entries = Vec::new();
         for name in gone {
             let Some(member) = self.workers.get_mut(&name) else { continue };
--- a/crates/facts/src/schema.rs
+++ b/crates/facts/src/schema.rs
@@ -3,6 +3,7 @@
 use jsonschema::Validator;
 use schemars::{JsonSchema, schema_for};
 use serde_json::{Map, Value};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The facts of one host, as an inventory states them. What is not stated is unknown.
 #[derive(JsonSchema)]
@@ -61,7 +62,10 @@
 }
 
 /// The schema, ready to check with.
-pub struct Schema(Validator);
+pub struct Schema {
+    validator: Validator,
+    mark: u64,
+}
 
 impl Schema {
     /// The schema for these zones and kinds.
@@ -70,13 +74,20 @@
     /// If it could not be made, which would be a fault of this module.
     pub fn new(vocabulary: &Vocabulary) -> Result<Self, String> {
         let validator = jsonschema::validator_for(&document(vocabulary));
-        validator.map(Schema).map_err(|e| format!("the schema of a host's facts is faulty: {e}"))
+        let mark = xxh3_64(document(vocabulary).to_string().as_bytes());
+        let schema = validator.map(|validator| Schema { validator, mark });
+        schema.map_err(|e| format!("the schema of a host's facts is faulty: {e}"))
+    }
+
+    /// The same for schemas that judge alike: with it and a file's bytes what comes of them is settled.
+    pub fn mark(&self) -> u64 {
+        self.mark
     }
 
     /// What is wrong with a host's facts: the key and why.
     pub(crate) fn faults(&self, facts: Map<String, Value>) -> Vec<(String, String)> {
         let value = Value::Object(facts);
-        if self.0.is_valid(&value) {
+        if self.validator.is_valid(&value) {
             return Vec::new();
         }
         let fault = |e: jsonschema::ValidationError<'_>| {
@@ -84,6 +95,6 @@
             let key = path.trim_start_matches('/').split('/').next().unwrap_or("").to_owned();
             (key, e.to_string())
         };
-        self.0.iter_errors(&value).map(fault).collect()
+        self.validator.iter_errors(&value).map(fault).collect()
     }
 }
--- a/crates/inventory/src/desk.rs
+++ b/crates/inventory/src/desk.rs
@@ -229,7 +229,11 @@
 pub fn examine(settings: &Inventory, schema: &Schema) -> Result<(Judged, String), Unread> {
     let reading = reading(settings);
     match files::load(&settings.file, &reading, settings.size) {
-        Ok((bundle, digest)) => Ok((judge(crate::read(&bundle, &reading), schema), digest)),
+        // The same bytes are another version where other zones or kinds are known.
+        Ok((bundle, digest)) => {
+            let digest = format!("{:032x}", digest ^ u128::from(schema.mark()));
+            Ok((judge(crate::read(&bundle, &reading), schema), digest))
+        }
         Err(Unread::Refused(refusal, file)) => {
             let (files, digest) = (vec![file], format!("unread: {}", refusal.reason));
             Ok((Judged { files, refusals: vec![refusal], ..Judged::default() }, digest))
--- a/crates/inventory/src/files.rs
+++ b/crates/inventory/src/files.rs
@@ -115,11 +115,11 @@
     stamp
 }
 
-/// Reads an inventory and what belongs to it, at most `size` bytes in all; also the digest of the bytes, in hex.
+/// Reads an inventory and what belongs to it, at most `size` bytes in all; also the digest of the bytes.
 ///
 /// # Errors
 /// If there is no such file, or it is no file, too large, or changes meanwhile.
-pub fn load(file: &Path, reading: &Reading, size: u64) -> Result<(Bundle, String), Unread> {
+pub fn load(file: &Path, reading: &Reading, size: u64) -> Result<(Bundle, u128), Unread> {
     let before = stamp(file, reading);
     let mut left = size;
     let mut read = |path: &Path| -> Result<Text, Unread> {
@@ -160,5 +160,5 @@
             digest.update(part);
         }
     }
-    Ok((bundle, format!("{:032x}", digest.digest128())))
+    Ok((bundle, digest.digest128()))
 }
--- a/crates/inventory/src/table.rs
+++ b/crates/inventory/src/table.rs
@@ -44,30 +44,34 @@
     /// Walks one record; the places of its fields go to `places`.
     fn record(&mut self, places: &mut Vec<Place>) -> Ended {
         places.clear();
-        let mut line_start = self.byte;
         let mut quoted: Option<Place> = None;
-        let mut fresh = true;
+        let (mut fresh, mut column) = (true, 1);
         while let Some(&byte) = self.text.get(self.byte) {
-            let column = |at: usize| characters(&self.text[line_start..at]) + 1;
             if fresh {
-                let at = Place { file: 0, line: self.line, column: column(self.byte) };
+                let at = Place { file: 0, line: self.line, column };
                 places.push(at);
                 fresh = false;
                 if byte == b'"' {
                     quoted = Some(at);
                     self.byte += 1;
+                    column += 1;
                     continue;
                 }
             }
             self.byte += 1;
+            // In UTF-8 every character has one byte that is no continuation.
+            column += u32::from(byte & 0xc0 != 0x80);
             match byte {
                 b'"' if quoted.is_some() => match self.text.get(self.byte) {
-                    Some(b'"') => self.byte += 1,
+                    Some(b'"') => {
+                        self.byte += 1;
+                        column += 1;
+                    }
                     _ => quoted = None,
                 },
                 b'\n' => {
                     self.line += 1;
-                    line_start = self.byte;
+                    column = 1;
                     if quoted.is_none() {
                         return Ended::Record;
                     }
@@ -77,18 +81,12 @@
             }
         }
         if fresh {
-            let column = characters(&self.text[line_start..]) + 1;
             places.push(Place { file: 0, line: self.line, column });
         }
         quoted.map_or(Ended::Record, Ended::OpenQuote)
     }
 }
 
-fn characters(bytes: &[u8]) -> u32 {
-    // In UTF-8 every character has one byte that is no continuation.
-    bytes.iter().filter(|b| **b & 0xc0 != 0x80).count() as u32
-}
-
 fn delimiter(text: &[u8], wanted: Delimiter) -> u8 {
     let header = text.split(|b| *b == b'\n').find(|l| !l.is_empty() && l[0] != b'#' && l != b"\r");
     let count = |d: u8| header.map_or(0, |h| h.iter().filter(|b| **b == d).count());
@@ -165,7 +163,7 @@
             left_out(at, "", format!("has {} fields, the header {}", record.len(), columns.len()));
             continue;
         }
-        match row(&record, &places, columns) {
+        match row(&record, &places, columns, &raw.host_key) {
             Ok(host) => raw.hosts.push(host),
             Err((at, key, reason)) => left_out(at, &key, reason),
         }
@@ -222,12 +220,17 @@
 }
 
 /// A row's host and what is said of it, or what is wrong with the row, and where.
-fn row(record: &ByteRecord, places: &[Place], columns: &[Column]) -> Result<Raw, (Place, String, String)> {
+fn row(
+    record: &ByteRecord,
+    places: &[Place],
+    columns: &[Column],
+    host_key: &str,
+) -> Result<Raw, (Place, String, String)> {
     let mut raw = Raw { host: String::new(), at: places[0], items: Vec::new() };
     for ((field, at), column) in record.iter().zip(places).zip(columns) {
         let key = match column {
             Column::Other => continue,
-            Column::Host => "",
+            Column::Host => host_key,
             Column::Fact(_, _, key) => key,
         };
         let text =
