Try inventories on the stand-in platform, measure them, and give an example of the settings

The checker was wrong twice, seen with the program as it landed too: a scheduler that starts anew has not heard of a drain that the one before was told; and a stand-in worker that nobody hears was not over with its lease. Whole lists are sliced for what is gone, too. A carriage return alone ends a table's line as in the csv crate. Two field lines of one fact are told at their own line.

--- a/crates/conf/src/inventory.rs
+++ b/crates/conf/src/inventory.rs
@@ -98,19 +98,19 @@
             ("tab", Delimiter::Tab),
         ];
         let delimiter = fields.one("delimiter", |w| w.choice(&delimiters)).unwrap_or_default();
+        let mut seen: Vec<(String, String)> = Vec::new();
         let mapped = fields.many("field", |w| {
-            let fact = w.text()?;
+            let (fact, column) = (w.text()?, w.text()?);
             let label = fact.strip_prefix("label.").is_some_and(|l| !l.is_empty());
             if !label && !FIELDS.contains(&fact.as_str()) {
                 return Err(format!("`{fact}` is none of {} and label.NAME", FIELDS.join(", ")));
             }
-            Ok((fact, w.text()?))
-        });
-        for (i, (fact, column)) in mapped.iter().enumerate() {
-            if mapped[..i].iter().any(|(f, c)| f == fact || c.eq_ignore_ascii_case(column)) {
-                fields.problem("field", format!("`{fact}` or `{column}` is mapped twice"));
+            if seen.iter().any(|(f, c)| *f == fact || c.eq_ignore_ascii_case(&column)) {
+                return Err(format!("`{fact}` or `{column}` stands in another line already"));
             }
-        }
+            seen.push((fact.clone(), column.clone()));
+            Ok((fact, column))
+        });
         let defaults = fields.many("default", |w| {
             let fact = w.choice(&[("kind", "kind"), ("weight", "weight"), ("slots", "slots")])?;
             let value = w.text()?;
@@ -122,7 +122,7 @@
             if good { Ok((fact.to_owned(), value)) } else { Err(format!("`{value}` is no {fact}")) }
         });
         let size = fields.one("size", |w| w.size(1 << 10, 1 << 30)).unwrap_or(64 << 20);
-        let hosts = fields.one("hosts", |w| w.number(1, 1_000_000)).unwrap_or(100_000);
+        let hosts = fields.one("hosts", |w| w.number(1, 1_000_000)).unwrap_or(20_000);
         let refuse_over = fields.one("refuse-over", |w| w.percent()).unwrap_or(0.1);
         let hold_over = fields.one("hold-over", |w| w.percent()).unwrap_or(0.25);
         let weight = fields.one("weight", |w| w.choice(&[("list-first", false), ("file-first", true)]));
--- a/crates/conf/tests/conf.rs
+++ b/crates/conf/tests/conf.rs
@@ -84,3 +84,30 @@
         }
     }
 }
+
+// Guards the example that operators start from: it is good as it stands, and each line that is commented out is too.
+#[test]
+fn the_example_is_good_and_shows_the_defaults() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/spanlead.conf.example");
+    let text = std::fs::read_to_string(path).expect("the example");
+    let plain = parse("example", text.as_bytes()).expect("good");
+    let shown: String = text
+        .lines()
+        .map(|l| format!("{}\n", l.strip_prefix("  # ").map_or(l.to_owned(), |l| format!("  {l}"))))
+        .collect();
+    let all = parse("example", shown.as_bytes()).expect("good with every line");
+    assert_eq!(all.ledger, plain.ledger);
+    let (shown, mut plain) = (&all.inventories[0], plain.inventories[0].clone());
+    // These have no default, or are told from the file.
+    (plain.form, plain.keep) = (shown.form, shown.keep.clone());
+    (plain.fields, plain.defaults) = (shown.fields.clone(), shown.defaults.clone());
+    assert_eq!(*shown, plain);
+}
+
+#[test]
+fn inventories_are_checked_like_all_else() {
+    let text = "inventory\n  file x\ninventory a b\n  file x\ninventory 'a/b'\n  file x\ninventory a\n  file x\n  field zone z\n  field zone y\n  field \
+                pod Z\n  field colour c\n  field label. c\n  default pod 3\n  default weight heavy\n  hold-over 25\n  refuse-over 101%\n  weight \
+                first\n  watch never\n  size 1\ninventory a\n  file y\ninventory b\n";
+    assert_snapshot!(errors(text));
+}
--- /dev/null
+++ b/crates/core/examples/facts.rs
@@ -0,0 +1,106 @@
+//! How long a job waits while the facts of many workers change: `cargo run --release -p spanlead-core --example facts`.
+//!
+//! The reducer takes one input at a time, so the longest step is the longest that a job which has just come can wait for it.
+//! For each size: the longest step of all that follow a first whole list, the same list with every weight changed, a file
+//! that states pods and weights of all, and one that changes them all; and the whole time until the last slice.
+use oatdock::{Class, Effect as Repeating, ListScope, Nanos, RequestId, Scope, Settings, WorkerState};
+use settings::Names;
+use spanlead_core::*;
+use spanlead_facts::{Defaults, Place, Row, Said, Sheet, Source, Version};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const MS: Nanos = 1_000_000;
+
+struct World {
+    core: Core,
+    now: Nanos,
+    ticket: u64,
+    longest: Duration,
+}
+
+impl World {
+    fn step(&mut self, input: Input) {
+        let mut effects = Vec::with_capacity(64);
+        let begun = Instant::now();
+        self.core.step(self.now, input, &mut effects);
+        self.longest = self.longest.max(begun.elapsed());
+    }
+
+    /// Takes an input, then ticks with a job between each two, until nothing is left to take; the longest step and all.
+    fn measure(&mut self, input: Input) -> (Duration, Duration) {
+        self.longest = Duration::ZERO;
+        let begun = Instant::now();
+        self.step(input);
+        while self.core.taking_in() {
+            self.now += MS;
+            self.step(Input::Tick);
+            self.ticket += 1;
+            let (ticket, id) = (RequestId(self.ticket), format!("id-{}", self.ticket).into());
+            let due = self.now + 1_000 * MS;
+            let job = Job { id, class: 0, tenant: 0, slots: 1.0, memory: 0.0, key: None, due, mark: None };
+            self.step(Input::Request { ticket, job, tries: None, durable: false });
+            self.step(Input::ClientLeft { ticket });
+        }
+        (self.longest, begun.elapsed())
+    }
+}
+
+fn sheet(names: &[Arc<str>], weight: f64) -> Offered {
+    let row = |i: usize| Row {
+        pod: Said::This(Arc::from(format!("{}", i / 2)), Place::default()),
+        weight: Said::This(weight, Place::default()),
+        ..Row::default()
+    };
+    let rows = names.iter().enumerate().map(|(i, n)| (n.clone(), row(i))).collect();
+    let files = vec!["hosts.csv".into()];
+    let version = Version { number: 1, digest: "d".into(), read_ms: 1, files, rows, refusals: Vec::new() };
+    let source = Source { name: "clubs".into(), weight_first: true, version: version.into() };
+    Offered {
+        sheet: Sheet { sources: vec![source], defaults: Defaults::default() }.into(),
+        by: None,
+        forced: false,
+    }
+}
+
+fn main() {
+    let ms = |d: Duration| d.as_secs_f64() * 1000.0;
+    println!("workers  what              longest step ms    in all ms");
+    for size in [1_000_usize, 5_000, 20_000] {
+        let keyed = Repeating::Keyed { scope: Scope::Cell, ttl: 25_000 * MS };
+        let class = Class { effect: keyed, ..Class::new(300 * MS, 15_000 * MS) };
+        let settings = Settings { classes: vec![class], ..Settings::default() };
+        let names = Names { classes: vec!["visit".into()], zones: vec!["kista".into()], ..Names::default() };
+        let addr: SocketAddr = ([127, 0, 0, 1], 9).into();
+        let core = Core::new(settings, Arc::new(names), 1, 100_000, addr, false).expect("good settings");
+        let mut world = World { core, now: 1_000_000 * MS, ticket: 0, longest: Duration::ZERO };
+        let names: Vec<Arc<str>> =
+            (0..size).map(|i| Arc::from(format!("w{i:05}.kista.example.org"))).collect();
+        let list = |weight: f64| -> Vec<Host> {
+            let host = |name: &Arc<str>| Host {
+                name: name.clone(),
+                addr,
+                state: WorkerState::Ready,
+                started: None,
+                kind: Some(0),
+                zone: Some(0),
+                cell: None,
+                weight: Some(weight),
+            };
+            names.iter().map(host).collect()
+        };
+        let whole = |version, hosts| Input::List { scope: ListScope::Full, version, hosts };
+        for (what, input) in [
+            ("first list", whole(1, list(1.0))),
+            ("the same again", whole(2, list(1.0))),
+            ("all weights change", whole(3, list(0.5))),
+            ("a first file", Input::Offered(sheet(&names, 2.0))),
+            ("all its facts change", Input::Offered(sheet(&names, 3.0))),
+            ("all gone", whole(4, Vec::new())),
+        ] {
+            let (longest, all) = world.measure(input);
+            println!("{size:7}  {what:22} {:10.2} {:12.1}", ms(longest), ms(all));
+        }
+    }
+}
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -37,8 +37,9 @@
     pub host: Host,
     /// What the module was told of it last.
     pub told: Option<Told>,
-    /// The name by which files know it.
+    /// The name by which files know it, and whether one does.
     normal: Option<Arc<str>>,
+    named: bool,
     /// Its number where it must be told apart from all others.
     own: u32,
     /// The pod and zone that it was last known to be in, and until when it is in none.
@@ -131,20 +132,16 @@
 
     /// Takes news of the list, at once or, if there are many, their first slice.
     pub(crate) fn list(&mut self, now: Nanos, scope: ListScope, hosts: Vec<Host>, out: &mut Vec<Effect>) {
-        let mut gone = Vec::new();
+        let mut hosts = hosts;
         if matches!(scope, ListScope::Full | ListScope::Cached) {
-            let named: FxHashSet<&str> = hosts.iter().map(|h| &*h.name).collect();
-            let missing = |(name, m): &(&Arc<str>, &Member)| {
-                m.host.state != WorkerState::Gone && !named.contains(&***name)
-            };
-            gone.extend(self.workers.iter().filter(missing).map(|(name, _)| name.clone()));
             self.facts.incoming.clear();
+            hosts.extend(self.missing(&hosts));
+            self.workers.reserve(hosts.len().saturating_sub(self.workers.len()));
         } else if !self.facts.incoming.is_empty() {
             // What is still to be taken of these hosts is old.
             let named: FxHashSet<&str> = hosts.iter().map(|h| &*h.name).collect();
             self.facts.incoming.retain(|h| !named.contains(&*h.name));
         }
-        let mut hosts = hosts;
         if hosts.len() > SLICE {
             // Stable: of what the list names twice, the last word stays the last.
             hosts.sort_by_key(|h| (h.state == WorkerState::Ready, std::cmp::Reverse(h.started)));
@@ -152,29 +149,25 @@
         // News goes before what is left of an older list.
         let older = std::mem::replace(&mut self.facts.incoming, hosts.into());
         self.facts.incoming.extend(older);
-        let mut entries = Vec::new();
-        for name in gone {
-            let Some(member) = self.workers.get_mut(&name) else { continue };
-            member.host.state = WorkerState::Gone;
-            member.gone = Some(now);
-            if let Some(told) = &mut member.told {
-                told.state = WorkerState::Gone;
-                entries.push((name, *told));
-            }
-        }
-        // Who is not in a whole list was told above; the rest of it are changes.
+        // Who is not in a whole list is among what is taken; the module need not look for them.
         let scope = if scope == ListScope::Full { ListScope::Changes } else { scope };
-        self.slice(now, scope, entries, out);
+        self.slice(now, scope, out);
+    }
+
+    /// The workers that a whole list leaves out, as gone.
+    fn missing(&self, hosts: &[Host]) -> Vec<Host> {
+        if self.workers.is_empty() {
+            return Vec::new();
+        }
+        let named: FxHashSet<&str> = hosts.iter().map(|h| &*h.name).collect();
+        let here = self.workers.values().filter(|m| m.host.state != WorkerState::Gone);
+        let left = here.filter(|m| !named.contains(&*m.host.name));
+        left.map(|m| Host { state: WorkerState::Gone, ..m.host.clone() }).collect()
     }
 
     /// Takes the next hosts and tells the module what is new of them.
-    fn slice(
-        &mut self,
-        now: Nanos,
-        scope: ListScope,
-        mut entries: Vec<(Arc<str>, Told)>,
-        out: &mut Vec<Effect>,
-    ) {
+    fn slice(&mut self, now: Nanos, scope: ListScope, out: &mut Vec<Effect>) {
+        let mut entries: Vec<(Arc<str>, Told)> = Vec::new();
         for _ in 0..SLICE {
             let name = match self.facts.incoming.pop_front() {
                 Some(host) => self.hear(now, host, out),
@@ -199,7 +192,7 @@
     /// The pause between two slices is over.
     pub(crate) fn next_slice(&mut self, now: Nanos, out: &mut Vec<Effect>) {
         self.facts.waiting = false;
-        self.slice(now, ListScope::Changes, Vec::new(), out);
+        self.slice(now, ListScope::Changes, out);
     }
 
     /// Notes what the list says of a host.
@@ -224,7 +217,8 @@
                 let own = OWN + self.facts.members;
                 self.facts.members = (self.facts.members + 1) % (UNKNOWN - OWN);
                 let (pod, zone) = (Place::default(), Place::default());
-                let member = Member { host, told: None, normal: None, own, pod, zone, since: now, gone };
+                let member =
+                    Member { host, told: None, normal: None, named: false, own, pod, zone, since: now, gone };
                 self.workers.insert(name.clone(), member);
             }
         }
@@ -241,6 +235,7 @@
         let (mut pod, mut weight) = (host.cell.filter(|c| *c < NAMED), host.weight);
         if let Some(sheet) = self.facts.sheet.clone() {
             let normal = &**member.normal.get_or_insert_with(|| normal_name(name));
+            member.named = sheet.names(normal);
             let said = |words: &[String], word: Option<&Arc<str>>| word.and_then(|w| position(words, w));
             zone = zone.or_else(|| said(&self.names.zones, sheet.zone(normal)?.value));
             let default = || said(&self.names.kinds, sheet.defaults.kind.as_ref());
@@ -295,7 +290,7 @@
         }
         self.facts.sheet = Some(sheet).filter(|s| !s.is_empty());
         self.facts.again = self.workers.keys().cloned().collect();
-        self.slice(now, ListScope::Changes, Vec::new(), out);
+        self.slice(now, ListScope::Changes, out);
     }
 
     /// The class that has a worker now and would have none by this sheet.
@@ -381,12 +376,11 @@
     pub(crate) fn fact_figures(&self, now: Nanos) -> Option<FactFigures> {
         let sheet = self.facts.sheet.as_ref()?;
         let here = || self.workers.values().filter(|m| m.host.state != WorkerState::Gone);
-        let named = |m: &&Member| m.normal.as_ref().is_some_and(|n| sheet.names(n));
         let apart = |m: &&Member| now < m.pod.barred.max(m.zone.barred);
         Some(FactFigures {
             inventories: sheet.sources.len(),
             hosts: sheet.sources.iter().map(|s| s.version.rows.len()).sum(),
-            matched: here().filter(named).count(),
+            matched: here().filter(|m| m.named).count(),
             apart: here().filter(apart).count(),
             pending: self.facts.incoming.len() + self.facts.again.len(),
         })
--- a/crates/inventory/src/table.rs
+++ b/crates/inventory/src/table.rs
@@ -30,12 +30,14 @@
     fn next_record(&mut self) -> Option<()> {
         loop {
             let rest = self.text.get(self.byte..).filter(|r| !r.is_empty())?;
-            let end = rest.iter().position(|b| *b == b'\n').map_or(rest.len(), |p| p + 1);
-            let line = &rest[..end];
-            let blank = line.iter().all(|b| matches!(b, b'\r' | b'\n'));
-            if !blank && line[0] != b'#' {
+            let comment = rest[0] == b'#';
+            if !comment && !matches!(rest[0], b'\r' | b'\n') {
                 return Some(());
             }
+            let end = match comment {
+                true => rest.iter().position(|b| *b == b'\n').map_or(rest.len(), |p| p + 1),
+                false => 1 + usize::from(rest.starts_with(b"\r\n")),
+            };
             self.byte += end;
             self.line += 1;
         }
@@ -69,7 +71,9 @@
                     }
                     _ => quoted = None,
                 },
-                b'\n' => {
+                // As the csv crate has it, a carriage return alone ends a line too.
+                b'\r' if self.text.get(self.byte) == Some(&b'\n') => {}
+                b'\n' | b'\r' => {
                     self.line += 1;
                     column = 1;
                     if quoted.is_none() {
--- a/crates/spanlead/src/inventory.rs
+++ b/crates/spanlead/src/inventory.rs
@@ -518,7 +518,7 @@
     if !changes.is_empty() {
         println!("{shown}");
     }
-    println!("{} of {} hosts differ", hosts.len(), old.rows.len().max(new.rows.len()));
+    println!("{} hosts differ ({} before, {} now)", hosts.len(), old.rows.len(), new.rows.len());
     Ok(())
 }
 
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -6,7 +6,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use spanlead_standin::check::{Broken, RULES, check};
-use spanlead_standin::{Fleet, FleetPlan, Load, Plan, Record, Scheduler, Summary, What, config};
+use spanlead_standin::{Fleet, FleetPlan, Keeper, Load, Plan, Record, Scheduler, Summary, What, config};
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -55,6 +55,10 @@
     /// after its lease.
     #[arg(long, default_value_t = 0)]
     trouble: u32,
+    /// How often a club's inventory file changes, now and then for the worse. The live list says no more than who runs then:
+    /// pods, zones, kinds and weights are the file's.
+    #[arg(long, default_value_t = 0)]
+    inventory: u32,
     /// The share of keyed jobs that two clients bring at once.
     #[arg(long, default_value_t = 0.05)]
     doubled: f64,
@@ -96,14 +100,21 @@
     }
 
     fn conf(&self, folder: &Path) -> String {
+        let inventory = match self.inventory {
+            0 => String::new(),
+            _ => format!(
+                "inventory clubs\n  file '{0}/hosts.csv'\n  keep '{0}/kept'\n  settle 20ms\n  poll 100ms\n  hold-over 60%\n",
+                folder.display()
+            ),
+        };
         if self.no_ledger {
-            return String::new();
+            return inventory;
         }
         let sync = if self.no_sync { "no" } else { "yes" };
         let (lease, folder) = (humantime::format_duration(self.lease).to_string(), folder.join("ledger"));
         let bound = humantime::format_duration(self.lease / 10).to_string();
         format!(
-            "ledger\n  folder '{}'\n  lease '{lease}'\n  clock-bound '{bound}'\n  keep 60s\n  sync {sync}\n",
+            "ledger\n  folder '{}'\n  lease '{lease}'\n  clock-bound '{bound}'\n  keep 60s\n  sync {sync}\n{inventory}",
             folder.display()
         )
     }
@@ -115,8 +126,18 @@
         let record = Record::new();
         let mut plan = FleetPlan::new(self.workers, self.scale, seed);
         plan.leases = self.leases;
+        plan.bare = self.inventory > 0;
         let mut fleet = Fleet::start(plan, record.clone()).await?;
         let binary = std::env::current_exe()?;
+        let keeper = match self.inventory {
+            0 => None,
+            _ => {
+                // One of them runs, and discovery has never named it.
+                let ghosts = vec!["ghost-1".to_owned(), "ghost-2.example.org".to_owned()];
+                fleet.start_unlisted(&ghosts[0]).await?;
+                Some(Keeper::new(folder.join("hosts.csv"), fleet.listed(), ghosts, seed)?)
+            }
+        };
         let conf = self.conf(&folder);
         let mut scheduler =
             Scheduler::new(&binary, &folder, &config(&fleet, seed, 4096), &conf, record.clone())?;
@@ -136,7 +157,7 @@
         let style = ProgressStyle::with_template("{bar:40} {pos}/{len} jobs, {elapsed}, {msg}");
         bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
         let classes = fleet.classes().to_vec();
-        let mut troubles = Troubles::new(self, seed);
+        let mut troubles = Troubles::new(self, seed, keeper);
         let mut cpu = Duration::ZERO;
         let mut playing = std::pin::pin!(load.play(&plan, &classes));
         let mut look = tokio::time::interval(Duration::from_millis(100));
@@ -254,6 +275,7 @@
     rng: SmallRng,
     killed: u32,
     said: String,
+    keeper: Option<Keeper>,
 }
 
 #[derive(Clone, Debug)]
@@ -265,10 +287,11 @@
     Misbehave,
     Behave(String),
     Undrain(String),
+    Inventory,
 }
 
 impl Troubles {
-    fn new(trial: &Trial, seed: u64) -> Self {
+    fn new(trial: &Trial, seed: u64, keeper: Option<Keeper>) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x74_726f_7562_6c65);
         let begun = Instant::now();
         let length = trial.jobs as f64 / trial.rate;
@@ -277,13 +300,14 @@
             (trial.kill_scheduler, Trouble::KillScheduler),
             (trial.kill_worker, Trouble::KillWorker),
             (trial.trouble, Trouble::Misbehave),
+            (trial.inventory, Trouble::Inventory),
         ] {
             for _ in 0..count {
                 let at = begun + Duration::from_secs_f64(rng.random_range(0.05..1.0) * length);
                 plan.push((at, trouble.clone()));
             }
         }
-        let mut troubles = Troubles { plan, rng, killed: 0, said: String::new() };
+        let mut troubles = Troubles { plan, rng, killed: 0, said: String::new(), keeper };
         troubles.sort();
         troubles
     }
@@ -343,6 +367,11 @@
             }
             (Trouble::Behave(worker), _) => fleet.change(&worker, |b| *b = Default::default()),
             (Trouble::Undrain(worker), _) => fleet.drain(&worker, false),
+            (Trouble::Inventory, _) => {
+                if let Some(keeper) = &mut self.keeper {
+                    self.said = format!("inventory: {}", keeper.change()?);
+                }
+            }
             _ => {}
         }
         Ok(Duration::ZERO)
--- a/crates/spanlead/tests/harness/mod.rs
+++ b/crates/spanlead/tests/harness/mod.rs
@@ -256,6 +256,13 @@
         Self::start_with(discovery, known, &[], |command| command.arg("--conf").arg(conf))
     }
 
+    /// Starts one with these settings of the operators'.
+    pub fn start_with_conf(discovery: SocketAddr, known: &[String], folder: &Path, text: &str) -> Self {
+        let conf = folder.join("spanlead.conf");
+        std::fs::write(&conf, text).expect("a writable folder");
+        Self::start_with(discovery, known, &[], |command| command.arg("--conf").arg(conf))
+    }
+
     /// The same with files of `blocks` times 512 bytes at the most, beyond which the system refuses to write.
     pub fn start_cramped(discovery: SocketAddr, known: &[String], folder: &Path, blocks: u32) -> Self {
         let conf = durable_conf(folder, "");
@@ -338,6 +345,16 @@
         Client::connect(self.addr)
     }
 
+    /// Where the operators' door is.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator
+    }
+
+    /// Says that files have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// A connection to the operators' door.
     pub fn operator(&self) -> Client {
         Client::connect(self.operator)
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -30,6 +30,8 @@
     OwnResult,
     /// Nothing new to a worker 750 ms after the scheduler was told that it drains.
     Drain,
+    /// Nothing to a worker that the live list has not named.
+    Listed,
 }
 
 impl fmt::Display for Rule {
@@ -41,13 +43,21 @@
             Rule::OneAttempt => "never two attempts at once",
             Rule::OwnResult => "each job its own result",
             Rule::Drain => "nothing to draining workers",
+            Rule::Listed => "nothing to workers that are not listed",
         })
     }
 }
 
 /// All rules, for a table.
-pub const RULES: [Rule; 6] =
-    [Rule::OneAnswer, Rule::Settled, Rule::OneRun, Rule::OneAttempt, Rule::OwnResult, Rule::Drain];
+pub const RULES: [Rule; 7] = [
+    Rule::OneAnswer,
+    Rule::Settled,
+    Rule::OneRun,
+    Rule::OneAttempt,
+    Rule::OwnResult,
+    Rule::Drain,
+    Rule::Listed,
+];
 
 struct Asked {
     job: u64,
@@ -70,6 +80,7 @@
     let mut ran: HashMap<(&str, &str), u32> = HashMap::new();
     let mut out: HashMap<&str, &str> = HashMap::new();
     let mut draining: HashMap<&str, Duration> = HashMap::new();
+    let mut listed: HashSet<&str> = HashSet::new();
     let mut down = false;
     for Event { at, what } in events {
         match what {
@@ -107,6 +118,9 @@
                 settled.entry(*job).and_modify(|a| *a &= answered).or_insert(*answered);
             }
             What::Received { request, worker, .. } => {
+                if !listed.contains(worker.as_str()) {
+                    bad(Rule::Listed, format!("{request} went to {worker}, which no list has named"));
+                }
                 if let Some(other) = out.insert(request, worker) {
                     bad(Rule::OneAttempt, format!("{request} went to {worker} while {other} had it"));
                 }
@@ -122,13 +136,17 @@
             }
             What::Ran { key: Some(key), class, .. } => *ran.entry((class, key)).or_default() += 1,
             What::Told { worker } => {
+                listed.insert(worker);
                 draining.entry(worker).or_insert(*at);
             }
             What::Lives { worker } => {
+                listed.insert(worker);
                 draining.remove(worker.as_str());
             }
             What::Killed => {
                 down = true;
+                // What a process was told, the next one has not heard.
+                draining.clear();
                 asked.values_mut().filter(|a| a.ends == 0).for_each(|a| a.excused = true);
             }
             What::Serving => down = false,
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -25,10 +25,17 @@
     pub cell: u32,
     pub health: &'static str,
     pub born_ms: u64,
+    /// The list says no more of it than that it runs.
+    pub bare: bool,
 }
 
 impl Listed {
     fn json(&self) -> serde_json::Value {
+        if self.bare {
+            return serde_json::json!({
+                "host": self.host, "dial": self.dial.to_string(), "health": self.health, "born_ms": self.born_ms,
+            });
+        }
         serde_json::json!({
             "host": self.host, "dial": self.dial.to_string(), "site": self.zone, "class": self.kind,
             "block": self.cell, "health": self.health, "share": 1.0, "born_ms": self.born_ms,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -69,6 +69,8 @@
     pub cold: Duration,
     pub progress: Duration,
     pub seed: u64,
+    /// The list says no more of workers than that they run.
+    pub bare: bool,
 }
 
 impl FleetPlan {
@@ -83,6 +85,7 @@
             cold: Duration::from_secs(1),
             progress: Duration::from_millis(500),
             seed,
+            bare: false,
         }
     }
 }
@@ -96,6 +99,8 @@
     /// Where the scheduler hears notices.
     pub callback: Callback,
     pub workers: BTreeMap<String, Worker>,
+    /// Workers that run and are not listed.
+    unlisted: Vec<Worker>,
     plan: FleetPlan,
     plans: BTreeMap<String, (WorkerPlan, Listed)>,
 }
@@ -111,6 +116,7 @@
             record,
             callback,
             workers: BTreeMap::new(),
+            unlisted: Vec::new(),
             plan: plan.clone(),
             plans: BTreeMap::new(),
         };
@@ -152,6 +158,7 @@
                 cell,
                 health: "active",
                 born_ms: 0,
+                bare: plan.bare,
             };
             fleet.plans.insert(name.clone(), (worker, listed));
             fleet.begin(&name, 0).await?;
@@ -168,11 +175,28 @@
         Ok(())
     }
 
+    /// Starts a worker that discovery never names.
+    ///
+    /// # Errors
+    /// If no address is free.
+    pub async fn start_unlisted(&mut self, name: &str) -> io::Result<()> {
+        let Some((plan, _)) = self.plans.values().next() else { return Ok(()) };
+        let plan = WorkerPlan { name: name.to_owned(), ..plan.clone() };
+        let worker = Worker::start(plan, self.callback.clone(), self.record.clone()).await?;
+        self.unlisted.push(worker);
+        Ok(())
+    }
+
     /// The names of its workers, running or not.
     pub fn names(&self) -> Vec<String> {
         self.plans.keys().cloned().collect()
     }
 
+    /// What the list says of them, or would if it weren't bare.
+    pub fn listed(&self) -> Vec<Listed> {
+        self.plans.values().map(|(_, listed)| listed.clone()).collect()
+    }
+
     /// Kills a worker; discovery tells of it only when it is back, as for a machine that restarts.
     pub fn kill(&mut self, name: &str) {
         self.workers.remove(name);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -150,6 +150,12 @@
     until: Arc<Mutex<Instant>>,
 }
 
+impl Lease {
+    fn ends(&self) -> Instant {
+        *self.until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 struct Inner {
     plan: WorkerPlan,
     record: Record,
@@ -451,8 +457,7 @@
         let stop = task.stop.subscribe();
         let gone = |task: &Task| {
             let heedless = self.behaviour.borrow().heedless;
-            let ended = |l: &Lease| *l.until.lock().unwrap_or_else(PoisonError::into_inner) <= Instant::now();
-            task.lease.as_ref().is_some_and(|l| !heedless && ended(l))
+            task.lease.as_ref().is_some_and(|l| !heedless && l.ends() <= Instant::now())
         };
         if gone(task) {
             return Some("lease over");
@@ -489,7 +494,9 @@
         while left > 0.0 {
             let begun = Instant::now();
             sleep_until(begun + step).await;
-            self.awake().await;
+            if timeout_at(self.stops(task), self.awake()).await.is_err() {
+                return Some("lease over");
+            }
             if let Some(why) = *stop.borrow() {
                 return Some(why);
             }
@@ -522,6 +529,13 @@
         Some(self.tell(task, &done(&result)).await.unwrap_or("done"))
     }
 
+    /// When it stops with a task by itself, whatever else happens.
+    fn stops(&self, task: &Task) -> Instant {
+        let never = Instant::now() + Duration::from_secs(3600);
+        let lease = task.lease.as_ref().filter(|_| !self.behaviour.borrow().heedless);
+        lease.map_or(never, Lease::ends)
+    }
+
     /// Tells the scheduler until it has heard; why the job is over, if that is what it said.
     async fn tell(&self, task: &Task, rest: &str) -> Option<&'static str> {
         let token = task.lease.as_ref().map_or(String::new(), |l| format!(",\"token\":{}", l.token));
@@ -530,7 +544,13 @@
         let mut fenced = None;
         for repeat in 0..repeats {
             for _ in 0..TELL {
-                let _ = self.behaviour.clone().wait_for(|b| !b.frozen && !b.vanished).await;
+                // One that nobody hears, or that stands still, is over with its lease: it has stopped, or stops before it does
+                // anything else. A heedless one goes on.
+                let mut behaviour = self.behaviour.clone();
+                let heard = behaviour.wait_for(|b| !b.frozen && !b.vanished);
+                if timeout_at(self.stops(task), heard).await.is_err() {
+                    return Some("lease over");
+                }
                 let sent = Instant::now();
                 match self.post(&text).await {
                     Some((200 | 204, lease)) => {
