--- a/crates/standin/tests/check.rs
+++ b/crates/standin/tests/check.rs
@@ -35,7 +35,10 @@
 }
 
 fn broken(happened: Vec<(u64, What)>) -> Vec<Rule> {
-    let events: Vec<Event> = happened.into_iter().map(|(at, what)| Event { at: ms(at), what }).collect();
+    // The list has named two workers from the start.
+    let listed = ["w00", "w01"].map(|w| (0, What::Lives { worker: w.into() }));
+    let events: Vec<Event> =
+        listed.into_iter().chain(happened).map(|(at, what)| Event { at: ms(at), what }).collect();
     check(&events, &classes(1.0)).into_iter().map(|b| b.rule).collect()
 }
 
@@ -81,6 +84,7 @@
         (Rule::OneRun, vec![(0, ran("r1", cell, "k")), (9, ran("r2", cell, "k"))]),
         (Rule::OneAttempt, vec![(0, received("r1", "w00")), (1, received("r1", "w01"))]),
         (Rule::OwnResult, vec![(0, asked("r1", 1, never)), (1, answered("r1", 2))]),
+        (Rule::Listed, vec![(0, received("r1", "ghost"))]),
         (Rule::Drain, vec![(0, What::Told { worker: "w00".into() }), (801, received("r1", "w00"))]),
     ];
     for (rule, record) in cases {
@@ -92,6 +96,14 @@
         broken(vec![(0, began("r1", cell, "k", "cell 0")), (9, began("r1", cell, "k", "cell 0"))]),
         []
     );
+    // What a killed process was told the next one has not heard.
+    let anew = vec![
+        (0, What::Told { worker: "w00".into() }),
+        (10, What::Killed),
+        (20, What::Serving),
+        (801, received("r1", "w00")),
+    ];
+    assert_eq!(broken(anew), []);
     let again = vec![(0, received("r1", "w00")), (1, over("r1", "w00")), (2, received("r1", "w01"))];
     assert_eq!(broken(again), []);
 }
