--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -109,9 +109,16 @@
 
 /// Compares a figure of two sets, pair by pair of the same swept values and seed.
 pub fn compare(left: &[Run], right: &[Run], name: &str) -> Vec<Difference> {
+    // Policies are compared with each other only where each side has one.
+    let one = |runs: &[Run]| runs.iter().all(|r| r.policy == runs[0].policy);
+    let any = one(left) && one(right);
     let mut all: Vec<Paired> = Vec::new();
     for l in left {
-        let Some(r) = right.iter().find(|r| r.swept == l.swept && r.seed == l.seed) else { continue };
+        let Some(r) =
+            right.iter().find(|r| r.swept == l.swept && r.seed == l.seed && (any || r.policy == l.policy))
+        else {
+            continue;
+        };
         let Some(pair) = figure(l, name).zip(figure(r, name)) else { continue };
         match all.iter_mut().find(|(swept, _)| *swept == l.swept) {
             Some((_, pairs)) => pairs.push(pair),
--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -4,6 +4,7 @@
 //! worker with the fewest of this dispatcher's own slots in flight.
 use crate::api::*;
 use crate::check::check;
+use crate::limiter::Limiter;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
@@ -32,14 +33,7 @@
 const ZONE_WEIGHT: f64 = 8.0;
 /// Log of how much slower than the others a worker must run to be left alone for a while.
 const SLOW: f64 = 0.9;
-/// The admitted share moves by this much for a sign of room, against a target share of such signs: of
-/// probed workers that report a free slot, and of jobs that start within half of their aim.
-const ADMIT_GAIN: f64 = 0.03;
-/// It never falls under the floor, and grows by this part with each request: a busy dispatcher that takes
-/// little hears little, and must find out that room is back. By the clock, many quiet dispatchers would flood
-/// the fleet.
-const ADMIT_FLOOR: f64 = 0.05;
-const ADMIT_DRIFT: f64 = 0.002;
+/// The shares of signs of room, probed and started jobs', that admission aims at.
 const ROOM_TARGET: f64 = 0.15;
 /// A job that is turned away as full counts as this many signs of no room.
 const FULL_SIGNS: usize = 4;
@@ -354,8 +348,7 @@
     placed: FxHashMap<(u64, u32), Nanos>,
     lag_kept: f64,
     lag_fetched: f64,
-    /// The share of new requests that is taken.
-    admit: f64,
+    limiter: Limiter,
     /// The share of chances at a probed free slot that is taken.
     bold: f64,
     subscribed: bool,
@@ -417,7 +410,7 @@
             ejected: 0,
             retry_tokens: 10.0,
             top: settings.classes.iter().map(|c| c.priority).max().unwrap_or(0),
-            admit: 1.0,
+            limiter: Limiter::new(),
             bold: 1.0,
             placed: FxHashMap::default(),
             lag_kept: 0.0,
@@ -594,7 +587,7 @@
         self.serial += 1;
         let serial = self.serial;
         self.ids.insert(req.id, serial);
-        self.admit = (self.admit * (1.0 + ADMIT_DRIFT)).min(1.0);
+        self.limiter.arrived(req.class as usize);
         self.retry_tokens = (self.retry_tokens + 0.3).min(10.0);
         let mut tries = Vec::new();
         for t in tried {
@@ -643,11 +636,12 @@
             let worker = &self.workers[*w as usize];
             let known = worker.report.free_slots.filter(|_| self.lately(worker, now));
             if let Some(free) = known.filter(|_| !self.warm.contains(w)) {
-                self.observe(free >= 0.5, ROOM_TARGET);
+                self.limiter.observe(free >= 0.5, ROOM_TARGET);
             }
         }
         let Some(job) = self.jobs.get(&serial) else { return };
-        if job.rounds == 0 && job.tries.is_empty() && unit(&mut self.rng) > self.admit {
+        if job.rounds == 0 && job.tries.is_empty() && unit(&mut self.rng) > self.taken(job.req.class as usize)
+        {
             return self.give_up(serial, out);
         }
         if drawn.is_empty() {
@@ -684,6 +678,13 @@
         self.wait_round(now, serial, out);
     }
 
+    /// The part of a class's new requests that is taken.
+    fn taken(&self, class: usize) -> f64 {
+        let work =
+            |c: usize| self.classes[c].log_lag.exp() * f64::from(u8::from(self.classes[c].samples > 0.0));
+        self.limiter.part(class, &self.set.classes, work)
+    }
+
     fn wait_round(&mut self, now: Nanos, serial: u64, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&serial) else { return };
         job.round_at = now;
@@ -926,7 +927,7 @@
             return;
         }
         if let Some(free) = report.and_then(|r| r.free_slots) {
-            self.observe(free >= 0.5, ROOM_TARGET);
+            self.limiter.observe(free >= 0.5, ROOM_TARGET);
         }
         let worker = &mut self.workers[w as usize];
         worker.probe_ok_at = Some(now);
@@ -1002,17 +1003,10 @@
         worker.waiting_top = worker.waiting_top.saturating_sub(u32::from(attempt.top));
         if ran {
             let (lag, slack) = (now - attempt.sent, class.aim / 2);
-            self.observe(lag < slack, START_TARGET);
+            self.limiter.observe(lag < slack, START_TARGET);
         }
     }
 
-    /// Takes one sign of whether the fleet has room and moves the admitted share towards the target share
-    /// of such signs. Signs are shares over many workers, so their age matters little.
-    fn observe(&mut self, room: bool, target: f64) {
-        self.admit =
-            (self.admit * (ADMIT_GAIN * (f64::from(u8::from(room)) - target)).exp()).clamp(ADMIT_FLOOR, 1.0);
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
@@ -1069,7 +1063,7 @@
                 worker.full_until = now + ((300 * MS) << worker.fulls.min(5));
                 worker.fulls += 1;
                 self.bold = (self.bold * 0.8).max(0.1);
-                (0..FULL_SIGNS).for_each(|_| self.observe(false, ROOM_TARGET));
+                (0..FULL_SIGNS).for_each(|_| self.limiter.observe(false, ROOM_TARGET));
             }
             Outcome::ConnectFailed | Outcome::Reset => self.strike(w, now, 2 * SEC),
             Outcome::Error | Outcome::Timeout => self.strike(w, now, 4 * SEC),
--- a/crates/oatdock/src/lib.rs
+++ b/crates/oatdock/src/lib.rs
@@ -2,6 +2,7 @@
 mod api;
 mod check;
 mod choice;
+mod limiter;
 
 pub use api::*;
 pub use choice::Dispatcher;
