Drive a scheduler and a bare relay with an experiment's load on real sockets

What our decisions and state cost over the least possible was not known. `spanlead-lab load` plays an experiment's load, open loop and counted from when jobs should have come, against a scheduler process and against a bare hyper relay that makes the same exchanges, in turn under the same seeds, with the CPU of each.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,9 +5,11 @@
 //! concern, and nothing in it asks a clock.
 pub mod compare;
 mod outcome;
+pub mod relay;
 pub mod report;
 mod rival;
 pub mod run;
+pub mod sockets;
 pub mod spec;
 pub mod streams;
 mod worker;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,8 +3,9 @@
 use comfy_table::{CellAlignment, Table, presets};
 use spanlead_lab::compare::{FIGURES, compare, figure, of_policy};
 use spanlead_lab::run::{self, Run, by_point, half_interval, show_swept};
+use spanlead_lab::sockets::{self, Played, Target};
 use spanlead_lab::spec::{self, PolicyName, points};
-use spanlead_lab::{World, report};
+use spanlead_lab::{World, relay, report};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -63,6 +64,30 @@
         #[arg(long)]
         to: PathBuf,
     },
+    /// Play an experiment's load on real sockets: a scheduler among stand-in workers, and a bare relay in its place.
+    Load {
+        /// The experiment; its policies, troubles and sweeps don't count here.
+        file: PathBuf,
+        /// How long jobs run, against the file's.
+        #[arg(long, default_value_t = 0.02)]
+        scale: f64,
+        /// The scheduler's program.
+        #[arg(long, default_value = "target/release/spanlead")]
+        scheduler: PathBuf,
+        /// Rounds; scheduler and relay take turns.
+        #[arg(long, default_value_t = 2)]
+        rounds: u64,
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Be a bare relay, for `load`.
+    #[command(hide = true)]
+    Relay {
+        #[arg(long)]
+        listen: std::net::SocketAddr,
+        #[arg(long, value_delimiter = ',')]
+        workers: Vec<std::net::SocketAddr>,
+    },
     /// Play one point again and show its seconds.
     Replay {
         /// The experiment.
@@ -87,6 +112,10 @@
         Command::Run { file, to, repeats, quiet, threads } => play(&file, to, repeats, quiet, threads),
         Command::Compare { left, right, policies, figures } => differences(&left, right, policies, &figures),
         Command::Report { file, from, to } => write_report(&file, from, &to),
+        Command::Load { file, scale, scheduler, rounds, seed } => {
+            load(&file, scale, &scheduler, rounds, seed)
+        }
+        Command::Relay { listen, workers } => relay::serve(listen, workers).map_err(Into::into),
         Command::Replay { file, policy, seed, point } => replay(&file, &policy, seed, point),
     };
     match result {
@@ -281,3 +310,75 @@
     );
     Ok(())
 }
+
+fn load(file: &Path, scale: f64, scheduler: &Path, rounds: u64, seed: Option<u64>) -> Result<(), Failure> {
+    let experiment = spec::read(file)?;
+    if !(scale > 0.0 && scale <= 1.0) {
+        return Err("--scale: must be over 0, and 1 at the most".into());
+    }
+    let seed = seed.unwrap_or(experiment.seed);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let own = std::env::current_exe()?;
+    println!(
+        "{:.0} jobs a second for {} s, seed {seed}",
+        sockets::rate(&experiment, scale),
+        experiment.load.duration_s
+    );
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.set_header([
+        "target",
+        "round",
+        "jobs",
+        "served",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "CPU us a job",
+        "jobs a CPU second",
+    ]);
+    let mut costs: [Vec<f64>; 2] = Default::default();
+    for round in 0..rounds {
+        for (at, name) in ["scheduler", "relay"].into_iter().enumerate() {
+            let target = if at == 0 { Target::Scheduler(scheduler) } else { Target::Relay(&own) };
+            let played = runtime.block_on(sockets::play(&experiment, scale, seed + round, target))?;
+            let (row, cost) = row(name, round, &played)?;
+            costs[at].push(cost);
+            table.add_row(row);
+        }
+    }
+    for column in table.column_iter_mut().skip(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    println!("{table}");
+    let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len().max(1) as f64;
+    let (ours, bare) = (mean(&costs[0]), mean(&costs[1]));
+    println!(
+        "a job costs the scheduler {ours:.0} us of CPU and the bare relay {bare:.0} us: {:.2} times as much",
+        ours / bare
+    );
+    Ok(())
+}
+
+fn row(name: &str, round: u64, played: &Played) -> Result<(Vec<String>, f64), Failure> {
+    let mut all = hdrhistogram::Histogram::<u64>::new_with_bounds(1, 120_000_000, 3)?;
+    let (mut jobs, mut served) = (0, 0);
+    for counts in played.summary.classes.values() {
+        all.add(&counts.latency)?;
+        jobs += counts.jobs;
+        served += counts.served;
+    }
+    let cost = played.cpu.as_secs_f64() * 1e6 / jobs.max(1) as f64;
+    let ms = |q| format!("{:.1}", all.value_at_quantile(q) as f64 / 1000.0);
+    let cells = [
+        name.to_owned(),
+        round.to_string(),
+        jobs.to_string(),
+        served.to_string(),
+        ms(0.5),
+        ms(0.99),
+        ms(0.999),
+    ];
+    let cells = cells.into_iter().chain([format!("{cost:.0}"), format!("{:.0}", 1e6 / cost)]);
+    Ok((cells.collect(), cost))
+}
