Mark the troubles that were played in a report, not those of the unswept file

Seen in the browser: a point with `trouble.0.kind` swept to restart was marked Kill. Points are shown in the experiment's order with their own values.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,8 +1,8 @@
 //! A page of an experiment: tables and plots in one file, with nothing fetched from anywhere; readable in print and by keyboard.
 use crate::compare::figure;
 use crate::outcome::Outcome;
-use crate::run::{Run, by_point, half_interval, show_swept};
-use crate::spec::{Experiment, TroubleKind};
+use crate::run::{Run, by_point, half_interval, key, show_swept};
+use crate::spec::{Experiment, TroubleKind, points};
 use minijinja::{Environment, context};
 use plotters::prelude::*;
 use serde::Serialize;
@@ -38,7 +38,13 @@
 /// # Errors
 /// If a plot or the page can't be made.
 pub fn page(experiment: &Experiment, runs: &[Run], command: &str) -> Result<String, Failure> {
-    let points = by_point(runs);
+    // In the order of the experiment, each with the values that were swept in it; runs of other texts are left out.
+    let known = by_point(runs);
+    let runs_of = |key: String| known.iter().find(|(k, _)| **k == *key).map(|(_, runs)| runs.clone());
+    let points: Vec<(Experiment, Vec<&Run>)> = points(experiment)?
+        .into_iter()
+        .filter_map(|p| Some((p.experiment.clone(), runs_of(key(&p))?)))
+        .collect();
     let row = |runs: &Vec<&Run>| {
         let served: Vec<f64> = runs.iter().map(|r| r.outcome.served).collect();
         let half = half_interval(&served);
@@ -57,7 +63,7 @@
     };
     let rows: Vec<Row> = points.iter().map(|(_, runs)| row(runs)).collect();
     let mut sections = Vec::new();
-    for (_, runs) in &points {
+    for (played, runs) in &points {
         let o = &runs[0].outcome;
         let title = format!("{:?} {} (seed {})", runs[0].policy, show_swept(&runs[0].swept), runs[0].seed);
         let recovery = |r: &crate::Recovery| {
@@ -65,7 +71,7 @@
             [format!("{:.0} s", r.ended_s), format!("{:.3}", r.before), format!("{:.3}", r.least), after]
         };
         sections.push(Section {
-            plots: plots(experiment, o)?,
+            plots: plots(played, o)?,
             recoveries: o.recoveries.iter().map(recovery).collect(),
             title,
         });
@@ -73,7 +79,8 @@
     let mut environment = Environment::new();
     environment.add_template("report.html", TEMPLATE)?;
     let text = toml::to_string_pretty(experiment)?;
-    let all: u64 = runs.iter().map(|r| r.outcome.jobs).sum();
+    let shown: Vec<&Run> = points.iter().flat_map(|(_, runs)| runs.iter().copied()).collect();
+    let all: u64 = shown.iter().map(|r| r.outcome.jobs).sum();
     Ok(environment.get_template("report.html")?.render(context! {
         name => experiment.name,
         about => experiment.about,
@@ -83,7 +90,7 @@
         sections,
         experiment => text,
         jobs => all,
-        runs => runs.len(),
+        runs => shown.len(),
     })?)
 }
 
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -320,6 +320,12 @@
     let short = experiment(TROUBLED);
     let runs = run::play(&short, &folder.path().join("r.jsonl"), true).expect("played");
     let page = spanlead_lab::report::page(&short, &runs, "spanlead-lab <run>").expect("a page");
+    // What is swept is in the plots too: the trouble that was played, not the one in the file.
+    let swept = TROUBLED.replacen("[fleet]", "[sweep]\n\"trouble.0.kind\" = [\"slow\"]\n[fleet]", 1);
+    let swept = experiment(&swept);
+    let other = run::play(&swept, &folder.path().join("s.jsonl"), true).expect("played");
+    let plots = spanlead_lab::report::page(&swept, &other, "x").expect("a page");
+    assert!(plots.contains("Slow") && !page.contains("Slow"), "the mark is the swept trouble's");
     assert_eq!(page.matches("<svg").count(), 8, "four plots for each of two points");
     assert!(
         page.contains("spanlead-lab &lt;run&gt;") && page.contains("Walkers") && page.contains("TwoChoices")
