Say once what delimits a table, how a test's line is written, and when a deploy drains

Read once more: the inventory crate had the settings' Delimiter a second time with a match between the two; the fuzz tests wrote a host's line in two places; a step of the model's deploy marked its drains twice; is_list took a parameter that it didn't use. Behaviour is the same: lints of the workspace, all tests of the inventory crate and of the laboratory pass.

--- a/crates/inventory/src/desk.rs
+++ b/crates/inventory/src/desk.rs
@@ -2,10 +2,10 @@
 //! them, keeps their versions, and hands on what holds. Nothing of it runs where jobs are decided.
 use crate::archive::Archive;
 use crate::files::{self, Stamp, Unread};
-use crate::mapping::{Delimiter, Form, Mapping, Reading, Target};
+use crate::mapping::{Form, Mapping, Reading, Target};
 use notify::{RecommendedWatcher, RecursiveMode, Watcher};
 use serde::Serialize;
-use spanlead_conf::{self as conf, Inventory, InventoryForm, Watch};
+use spanlead_conf::{Inventory, InventoryForm, Watch};
 use spanlead_facts::{
     Defaults, Fact, Judged, Limits, Refusal, Schema, Sheet, Shelf, Source, Verdict, Version, Vocabulary,
     judge,
@@ -198,12 +198,7 @@
             InventoryForm::Hosts => Form::Hosts,
             InventoryForm::Ansible => Form::Ansible,
         }),
-        delimiter: match settings.delimiter {
-            conf::Delimiter::Auto => Delimiter::Auto,
-            conf::Delimiter::Comma => Delimiter::Comma,
-            conf::Delimiter::Semicolon => Delimiter::Semicolon,
-            conf::Delimiter::Tab => Delimiter::Tab,
-        },
+        delimiter: settings.delimiter,
         mapping,
         hosts: settings.hosts,
     }
--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -14,7 +14,8 @@
 mod table;
 mod yaml;
 
-pub use mapping::{Delimiter, Form, Mapping, Reading, Target};
+pub use mapping::{Form, Mapping, Reading, Target};
+pub use spanlead_conf::Delimiter;
 
 use spanlead_facts::{Place, RawFile, Refusal};
 use std::collections::BTreeMap;
@@ -55,7 +56,7 @@
             };
             match form {
                 Form::Hosts => plain::read(&main.name, &tree, reading),
-                Form::Yaml if plain::is_list(&tree, reading) => plain::read(&main.name, &tree, reading),
+                Form::Yaml if plain::is_list(&tree) => plain::read(&main.name, &tree, reading),
                 _ => ansible::read(&main.name, &tree, bundle, reading),
             }
         }
--- a/crates/inventory/src/mapping.rs
+++ b/crates/inventory/src/mapping.rs
@@ -1,4 +1,5 @@
 //! Which column or key is which fact.
+use spanlead_conf::Delimiter;
 use spanlead_facts::Fact;
 
 /// The names that a host's column or key has where nothing else is set.
@@ -17,20 +18,6 @@
     Ansible,
 }
 
-/// What stands between a table's fields.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Delimiter {
-    /// Whichever of the others the header has most of.
-    #[default]
-    Auto,
-    /// `,`
-    Comma,
-    /// `;`
-    Semicolon,
-    /// A tab.
-    Tab,
-}
-
 /// What a column or key is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
--- a/crates/inventory/src/plain.rs
+++ b/crates/inventory/src/plain.rs
@@ -21,7 +21,7 @@
 }
 
 /// Whether a document has this form, and not that of groups.
-pub(crate) fn is_list(tree: &Tree, _reading: &Reading) -> bool {
+pub(crate) fn is_list(tree: &Tree) -> bool {
     list(tree).is_some()
 }
 
--- a/crates/inventory/src/table.rs
+++ b/crates/inventory/src/table.rs
@@ -1,7 +1,8 @@
 //! Tables: CSV (RFC 4180) with a header row, in any order, with columns of others' between. Lines that begin with `#` and
 //! blank ones are passed over. Fields are the csv crate's; where they stand is found by walking the same bytes once more,
 //! since it tells neither columns nor the line of a record behind comments.
-use crate::mapping::{Delimiter, Reading, Target};
+use crate::Delimiter;
+use crate::mapping::{Reading, Target};
 use csv::{ByteRecord, ReaderBuilder, Trim};
 use spanlead_facts::{Done, Fact, Item, Place, Rank, Raw, RawFile, Refusal, Value};
 use std::sync::Arc;
--- a/crates/inventory/tests/fuzz.rs
+++ b/crates/inventory/tests/fuzz.rs
@@ -84,6 +84,11 @@
 }
 
 fn write(form: Form, Line { host, zone, pod, weight }: &Line) -> String {
+    entry(form, host, zone, &pod.to_string(), &weight.to_string())
+}
+
+/// A host's line, whatever is said in it.
+fn entry(form: Form, host: &str, zone: &str, pod: &str, weight: &str) -> String {
     match form {
         Form::Csv => format!("{zone},{host},{pod},\"a, note\",{weight}"),
         Form::Hosts => format!("- {{host: {host}, zone: {zone}, pod: {pod}, weight: {weight}}}"),
@@ -115,11 +120,7 @@
 
         let which = rng.random_range(0..lines.len());
         let Line { host, zone, pod, weight } = &lines[which];
-        let bad = |zone: &str, pod: &str, weight: &str| match form {
-            Form::Csv => format!("{zone},{host},{pod},\"a, note\",{weight}"),
-            Form::Hosts => format!("- {{host: {host}, zone: {zone}, pod: {pod}, weight: {weight}}}"),
-            _ => format!("        {host}: {{zone: {zone}, pod: {pod}, weight: {weight}}}"),
-        };
+        let bad = |zone: &str, pod: &str, weight: &str| entry(form, host, zone, pod, weight);
         let (pod, weight) = (pod.to_string(), weight.to_string());
         // A fact in a host's variables is lost alone, a line of a list or table as a whole.
         let (fault, key, doubled) = match rng.random_range(0..6) {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1064,11 +1064,6 @@
             }
             self.after(long, Event::Deploy(workers.clone(), step + 1, long));
         }
-        // A drain is told before it is meant.
-        if step < STEPS {
-            let drained = part(step);
-            drained.iter().for_each(|w| self.workers[*w].draining = true);
-        }
         self.publish_later(changed);
     }
 
