--- a/crates/oatdock/tests/behaviour.rs
+++ b/crates/oatdock/tests/behaviour.rs
@@ -297,9 +297,9 @@
         }
     }
     // A fifth to a half of the capacity is theirs as they warm up. Warm ones with an open connection go first, so it is
-    // less: 0.08. Granted by the window whoever looks, it was 0.02.
+    // less: 0.13; at the share of a warm worker as busy, 0.08; granted by the window whoever looks, 0.02.
     let part = f64::from(to_cold) / f64::from(jobs);
-    assert!((0.05..0.6).contains(&part), "{part:.2} of the jobs went to fresh workers");
+    assert!((0.1..0.6).contains(&part), "{part:.2} of the jobs went to fresh workers");
     // 100 dispatchers send 200 jobs in three seconds, three to a warm worker. Twelve hundredths of that, three times, in the
     // first window: one job in the mean. All may not meet at one worker.
     let most = windows.values().max().copied().unwrap_or(0);
