Keep a just started worker to its own share, and raise that as it warms up

Of few jobs in a window chance brings twice as many: at an eighth of its capacity a worker bears a job or two in 3 s, at two thirds eight.

--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -1251,13 +1251,14 @@
             return true;
         }
         // A fresh worker looks idle to every dispatcher at once, and together they would push it over. Each
-        // keeps to its own share of half of what the rule lets such a worker bear, the other half being for
-        // chance; where that is under one job a window, by chance. A weight that falls with load would make
-        // it look large, so it counts for the mean at most; a job of several slots goes into debt with the
-        // windows to come.
+        // keeps to its own share of what such a worker can do, and as it warms up of up to half of what the
+        // rule lets it bear: of few jobs chance brings twice as many. Where that is under one job a window,
+        // by chance. A weight that falls with load would make it look large, so it counts for the mean at
+        // most; a job of several slots goes into debt with the windows to come.
         if now >= worker.window_end {
-            let bears = (rules.tip_multiple / 2.0).max(1.0);
-            let fair = bears * self.share * worker.weight.min(self.mean_weight) * worker.ramp(rules, now);
+            let ramp = worker.ramp(rules, now);
+            let bears = 1.0 + (rules.tip_multiple / 2.0 - 1.0).max(0.0) * ramp;
+            let fair = bears * ramp * self.share * worker.weight.min(self.mean_weight);
             let granted = fair.floor() + f64::from(u8::from(unit(self.rng) < fair.fract()));
             worker.window_left = worker.window_left.min(0.0) + granted;
             worker.window_end = now + rules.tip_after;
