--- /dev/null
+++ b/crates/oatdock/tests/fleet.rs
@@ -0,0 +1,106 @@
+//! Trouble that many dispatchers meet at the same moment, played to a hundred of them, each with a world of its own.
+mod common;
+use common::*;
+use oatdock::*;
+use std::collections::BTreeMap;
+
+const DISPATCHERS: u64 = 100;
+
+fn request(id: u64, left: Nanos) -> Request {
+    Request::new(RequestId(id), 0, left)
+}
+
+/// Settings of a fleet that is large for what comes.
+fn large() -> Settings {
+    let mut set = Settings { must_ask: true, instances: DISPATCHERS as u32, ..settings(Effect::Safe) };
+    set.limits.conn_idle = 10 * SEC;
+    set
+}
+
+/// The list that a dispatcher has from before its start.
+fn known(world: &mut World, n: usize) {
+    let names: Vec<String> = (0..n).map(|i| format!("w{i}")).collect();
+    let entries: Vec<Entry<'_>> = names.iter().map(|w| Entry::new(w, WorkerState::Ready)).collect();
+    world.list(ListScope::Cached, &entries);
+}
+
+/// Discovery does not answer for 20 s, to all that started in the same moment: how many call in each 100 ms, and what became of
+/// the jobs meanwhile.
+#[test]
+fn calls_to_a_discovery_that_fails_are_spread_and_bounded_and_jobs_go_on() {
+    let mut calls: BTreeMap<Nanos, u32> = BTreeMap::new();
+    for seed in 0..DISPATCHERS {
+        let mut world = World::new(large(), seed);
+        let (start, mut seen, mut mine) = (world.now, 0, 0);
+        known(&mut world, 20);
+        for id in 0..200 {
+            if id % 20 == 0 {
+                world.ask(request(id, SEC));
+                assert_eq!(world.sends(id).len(), 1, "the known list serves");
+                world.end(id, 0, Outcome::Ok);
+            }
+            world.pass(100 * MS, true);
+            let new = world.trace[seen..].iter().filter(|a| matches!(a, Action::Subscribe)).count() as u32;
+            seen = world.trace.len();
+            if new > 0 {
+                *calls.entry((world.now - start) / (100 * MS)).or_default() += new;
+                mine += new;
+                world.list(ListScope::Failed, &[]);
+            }
+        }
+        assert!((2..=16).contains(&mine), "{mine} calls in 20 s by dispatcher {seed}");
+    }
+    // Calls in step would be a hundred in one such span.
+    let most = calls.values().max().copied().unwrap_or(0);
+    assert!(most <= 25, "{most} of {DISPATCHERS} called within 100 ms");
+}
+
+/// Nine in ten of the known list are gone, which only a failed connection tells.
+#[test]
+fn a_known_list_of_mostly_gone_workers_ends_every_job_once() {
+    let (mut served, mut jobs) = (0, 0);
+    for seed in 0..DISPATCHERS {
+        let mut world = World::new(large(), seed);
+        known(&mut world, 30);
+        for id in 0..20 {
+            world.ask(request(id, SEC));
+            jobs += 1;
+            while let Some(to) = world.sends(id).last().cloned() {
+                let alive = to.strip_prefix('w').and_then(|n| n.parse::<u32>().ok()).is_some_and(|n| n < 3);
+                let attempt = world.sends(id).len() as u32 - 1;
+                let before = world.sends(id).len();
+                world.end(id, attempt, if alive { Outcome::Ok } else { Outcome::ConnectFailed });
+                served += u32::from(alive);
+                if alive || world.sends(id).len() == before {
+                    break;
+                }
+            }
+            world.pass(2 * SEC, true);
+            assert!(world.checker.requests[&id].closed, "dispatcher {seed}, job {id} has no answer");
+        }
+    }
+    // Three attempts at three of thirty find one for a quarter of the jobs; those that are set aside make it more.
+    assert!(served * 2 > jobs, "{served} of {jobs} served");
+}
+
+/// Nothing costs anything, and peers are barred.
+#[test]
+fn prices_of_zero_and_barred_peers_change_no_rule() {
+    let mut set = large();
+    set.limits.probes = true;
+    set.reports = ReportVia::Answers;
+    assert_eq!((set.prices.clone(), set.limits.peers), (Prices::default(), false));
+    for seed in 0..DISPATCHERS {
+        let mut world = World::new(set.clone(), seed);
+        known(&mut world, 20);
+        for id in 0..10 {
+            world.ask(request(id, SEC));
+            world.pass(100 * MS, true);
+            let attempt = world.sends(id).len();
+            assert_eq!(attempt, 1, "dispatcher {seed}, job {id}");
+            world.end(id, 0, Outcome::Ok);
+        }
+        assert!(!world.trace.iter().any(|a| matches!(a, Action::Tell { .. })));
+        assert_eq!(world.checker.overdue(world.now), None);
+    }
+}
