--- a/crates/oatdock/tests/fleet.rs
+++ b/crates/oatdock/tests/fleet.rs
@@ -104,3 +104,54 @@
         assert_eq!(world.checker.overdue(world.now), None);
     }
 }
+
+/// A zone's workers vanish, every connection to them fails, and they come back cold under the same names: every job has its end, and
+/// they are used again at once, by all together no more than they bear.
+#[test]
+fn a_zone_that_vanishes_and_returns_cold_is_used_again_and_not_pushed_over() {
+    const ZONE: usize = 20;
+    let names: Vec<String> = (0..60).map(|i| format!("w{i}")).collect();
+    let entry = |i: usize, started| Entry {
+        zone: (i / ZONE) as u32,
+        started,
+        ..Entry::new(&names[i], WorkerState::Ready)
+    };
+    let lost = |to: &str| names[..ZONE].iter().any(|n| n == to);
+    let (mut back, mut windows) = (0u32, BTreeMap::new());
+    // No connection is kept: jobs that end at once would all go where the last one was.
+    let mut set = large();
+    set.limits.conn_idle = 0;
+    for seed in 0..DISPATCHERS {
+        let mut world = World::new(set.clone(), seed);
+        let entries: Vec<Entry<'_>> = (0..60).map(|i| entry(i, None)).collect();
+        world.list(ListScope::Full, &entries);
+        for id in 0..60u64 {
+            // From the 20th to the 40th job, 10 s, the zone is away.
+            if id == 40 {
+                let entries: Vec<Entry<'_>> = (0..ZONE).map(|i| entry(i, Some(world.now))).collect();
+                world.list(ListScope::Changes, &entries);
+            }
+            world.ask(request(id, SEC));
+            while let Some(to) = world.sends(id).last().cloned() {
+                let sent = world.sends(id).len();
+                let fails = (20..40).contains(&id) && lost(&to);
+                if id >= 40 && lost(&to) {
+                    back += 1;
+                    // Settings: a window of the cold budget is 2 s, four jobs.
+                    *windows.entry((to.clone(), (id - 40) / 4)).or_insert(0u32) += 1;
+                }
+                world.end(id, sent as u32 - 1, if fails { Outcome::ConnectFailed } else { Outcome::Ok });
+                if !fails || world.sends(id).len() == sent {
+                    break;
+                }
+            }
+            world.pass(500 * MS, true);
+            assert!(world.checker.requests[&id].closed, "dispatcher {seed}, job {id} has no answer");
+        }
+    }
+    assert!(back > 100, "{back} of 2,000 jobs went to the zone after its return");
+    // Of the 400 jobs of a window a warm worker gets 6.7; three times what one can do at 0.3 of its capacity is 6 of these, at the
+    // window's end 10, and chance comes on top.
+    let most = windows.values().max().copied().unwrap_or(0);
+    assert!(most <= 14, "{most} jobs to one returned worker in a window");
+}
