Don't raise the share of cold workers for the places of a key, and count every look

Change: Scene::eligible counts every look, in the one place that all ways pass; the share is raised only for places of walkers, which stand anywhere, not for those of a key, at which all dispatchers look. Test: cold_workers_are_not_pushed_over_by_all_dispatchers_together has the same bound for many keys and for twenty single keys.

--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -536,12 +536,9 @@
             return drawn;
         }
         let window_s = self.set.rules.tip_after as f64 / SEC as f64;
-        // The chance that a worker is looked at in a window: its share of the windows that nobody looks in
-        // would be lost, and with few requests to a scheduler those are nearly all.
-        let seen = 1.0 - (-self.looks.at(now).max(1e-3) * window_s / n as f64).exp();
         let mut scene = Scene {
-            share: self.serve_rate.at(now) * window_s / self.capacity.max(1e-3) / seen,
-            looks: 0,
+            share: self.serve_rate.at(now) * window_s / self.capacity.max(1e-3),
+            looks: &mut self.looks,
             mean_weight: self.weight_sum / n as f64,
             set: &self.set,
             workers: &mut self.workers,
@@ -573,6 +570,11 @@
                 return drawn;
             }
         }
+        // The chance that a worker is looked at in a window, walkers standing anywhere: its share of the
+        // windows that nobody looks in would be lost, and with few requests to a scheduler those are nearly
+        // all. A key's own places are looked at far oftener, so there the share is not raised.
+        let seen = 1.0 - (-scene.looks.at(now).max(1e-3) * window_s / n as f64).exp();
+        scene.share /= seen;
         // The workers heard of last stand beside the walkers' places: a slot just came back there and a
         // connection is open. This is the memory that the paper names among the variants of its scheme.
         for &w in self.warm.iter().rev() {
@@ -600,7 +602,6 @@
             *walker = graph.step(scene.workers, *walker, scene.rng);
         }
         graph.walkers = walkers;
-        self.looks.add(now, f64::from(scene.looks));
         if drawn.is_empty() {
             // No walker stands well: an eligible worker is drawn at random.
             let from = below(scene.rng, n);
@@ -1071,17 +1072,18 @@
     now: Nanos,
     /// So many are ejected that ejection says nothing any more.
     panic: bool,
-    /// Slots that this dispatcher sends to a warm worker of weight 1 in a window of the cold budget, over the
-    /// chance that it looks at the worker in that window.
+    /// Slots that this dispatcher sends to a warm worker of weight 1 in a window of the cold budget; for
+    /// places of walkers, over the chance that it looks at the worker in that window.
     share: f64,
-    looks: u32,
+    /// How often it looks at workers.
+    looks: &'a mut Rate,
     mean_weight: f64,
 }
 
 impl Scene<'_> {
     fn eligible(&mut self, job: &Job, at: u32) -> bool {
         let now = self.now;
-        self.looks += 1;
+        self.looks.add(now, 1.0);
         let tried = job.tries.iter().any(|t| t.worker == at);
         if tried || job.permit(self.set, self.workers, at, now).is_none() {
             return false;
--- a/crates/oatdock/tests/behaviour.rs
+++ b/crates/oatdock/tests/behaviour.rs
@@ -224,11 +224,28 @@
 /// Found on overloaded days with restarts: idle-looking cold workers drew eight times what they could do.
 #[test]
 fn cold_workers_are_not_pushed_over_by_all_dispatchers_together() {
+    // In two seconds all send 400 jobs: a warm worker's share is 20, a cold one can do a third of that.
+    let (dispatchers, jobs, fleet) = (40u64, 10u64, 20u64);
+    let share = dispatchers * jobs / fleet;
+    let cold = cold_jobs(|_| None);
+    assert!(cold > 0, "it must get some work to be of use");
+    assert!(cold <= share, "{cold} jobs to a cold worker whose warm share is {share}");
+    // By keys, jobs find their places on another way: with one for each job, or one for all.
+    let cold = cold_jobs(|id| Some(id * 7919));
+    assert!(cold <= share, "{cold} jobs of many keys to a cold worker");
+    for key in 0..20 {
+        let cold = cold_jobs(|_| Some(key));
+        assert!(cold <= share, "{cold} jobs of key {key} to a cold worker");
+    }
+}
+
+/// How many of 400 jobs 40 dispatchers send, in two seconds, to one of 20 workers that has just started.
+fn cold_jobs(key: impl Fn(u64) -> Option<u64>) -> u64 {
+    let request = |id: u64, left| Request { key: key(id), ..request(id, left) };
     let mut cold = 0;
-    let (dispatchers, jobs, fleet) = (40u64, 10u64, 20usize);
-    for seed in 0..dispatchers {
+    for seed in 0..40 {
         let mut world = World::new(Settings { instances: 40, ..settings(Effect::Safe) }, seed);
-        world.ready(fleet);
+        world.ready(20);
         for id in 0..20 {
             world.ask(request(id, SEC));
             if !world.sends(id).is_empty() {
@@ -238,7 +255,7 @@
         }
         let started = Some(world.now);
         world.list(ListScope::Changes, &[Entry { started, ..Entry::new("w0", WorkerState::Ready) }]);
-        for id in 100..100 + jobs {
+        for id in 100..110 {
             world.ask(request(id, SEC));
             let sends = world.sends(id);
             cold += sends.iter().filter(|w| *w == "w0").count() as u64;
@@ -248,10 +265,7 @@
             world.now += 200 * MS;
         }
     }
-    // In two seconds all send 400 jobs: a warm worker's share is 20, a cold one can do a third of that.
-    let share = dispatchers * jobs / fleet as u64;
-    assert!(cold > 0, "it must get some work to be of use");
-    assert!(cold <= share, "{cold} jobs to a cold worker whose warm share is {share}");
+    cold
 }
 
 /// Found on days when six in ten workers are replaced among a hundred schedulers of one request in three seconds: a fresh
