Send jobs on kept connections where the settings price a handshake

Ruled out: connections that workers closed ("0 closed as idle"), probes (they use kept ones). At fault: Pool::hand_over in net/src/workers.rs opens one for each job, and Config::tuning keeps idle ones for a twentieth of the workers' limit. That came from the first deployment, where the settings price no handshake and workers close kept connections early: there it stays as it was.

Now a price of handshakes lets a job take the connection used last, kept for half of the workers' limit. One that takes less than the whole request has not carried it, so the job goes on to the next one; one that breaks or says nothing takes the other idle ones to that worker with it, since a reset under a job leaves open whether it ran. The test fails with either taken out (tried).

--- a/crates/net/src/workers.rs
+++ b/crates/net/src/workers.rs
@@ -194,6 +194,8 @@
 pub struct Tuning {
     /// How long an idle connection is kept.
     pub keep: Duration,
+    /// Jobs, too, go out on connections that are kept.
+    pub reuse: bool,
     /// A connection that is not up after this counts as failed.
     pub connect_wait: Duration,
     pub reports: Reports,
@@ -231,8 +233,9 @@
         }
     }
 
-    /// Hands an attempt to its worker, over a connection of its own: a reset of one that was kept leaves open whether
-    /// the job has run, which costs far more than a handshake. Probes and calls that abandon a job use kept ones.
+    /// Hands an attempt to its worker. A reset of a connection that was kept leaves open whether the job has run, so where a
+    /// handshake costs nothing it goes out on one of its own ([`Tuning::reuse`]); probes and calls that abandon a job always use
+    /// kept ones.
     ///
     /// `whole` is told when the last byte has been written, also if nobody waits for the answer by then.
     pub async fn hand_over(
@@ -244,10 +247,29 @@
         whole: impl FnOnce() + Send + 'static,
     ) -> Handover {
         let left_ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let mut whole: Option<OnWhole> = Some(Box::new(whole));
         let reply = async {
-            let connection = self.connect_anew(addr, until).await?;
-            *lock(&connection.meter.whole) = Some(Box::new(whole));
-            self.call_over(addr, connection, &|| Some(wire::handover(parcel, left_ms, lease)), until).await
+            loop {
+                let kept = if self.tuning().reuse { self.take_idle(addr) } else { None };
+                let again = kept.is_some();
+                let connection = match kept {
+                    Some(connection) => connection,
+                    None => self.connect_anew(addr, until).await?,
+                };
+                let meter = connection.meter.clone();
+                *lock(&meter.whole) = whole.take();
+                let request = || Some(wire::handover(parcel, left_ms, lease));
+                match self.call_over(addr, connection, &request, until).await {
+                    // A kept one that was closed meanwhile takes less than the whole request: on to the next.
+                    Err(Fault::Unsent) if again => whole = lock(&meter.whole).take(),
+                    // The others to a worker that broke one off or says nothing are no better.
+                    Err(fault @ (Fault::Broken | Fault::Overdue)) => {
+                        self.close_idle(addr);
+                        return Err(fault);
+                    }
+                    other => return other,
+                }
+            }
         };
         match reply.await {
             Ok(reply) => match reply.status {
--- a/crates/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -233,14 +233,21 @@
 
     /// What the connections to workers go by.
     ///
-    /// An idle one is kept for the next probe, but not for long: workers may close one long before the limit that they
-    /// state, and what is written to it from then on ends in a reset.
+    /// Where a handshake has a price, jobs go out on kept connections, and these are kept for half of the time after which the
+    /// workers close them. Where it has none, an idle one is kept for the next probe only, and not for long: workers may close
+    /// one long before the limit that they state, and what is written to it from then on ends in a reset.
     pub fn tuning(&self) -> Tuning {
-        let limits = &self.deployment.settings.limits;
-        let keep = if limits.conn_idle == 0 { 5_000_000_000 } else { limits.conn_idle / 20 };
+        let settings = &self.deployment.settings;
+        let reuse = settings.prices.handshake > 0.0;
+        let keep = match (settings.limits.conn_idle, reuse) {
+            (0, _) => 5_000_000_000,
+            (idle, true) => idle / 2,
+            (idle, false) => idle / 20,
+        };
         Tuning {
             keep: Duration::from_nanos(keep),
-            connect_wait: Duration::from_nanos(limits.connect_timeout),
+            reuse,
+            connect_wait: Duration::from_nanos(settings.limits.connect_timeout),
             reports: self.deployment.reports,
         }
     }
--- a/crates/spanlead/tests/serve.rs
+++ b/crates/spanlead/tests/serve.rs
@@ -336,6 +336,51 @@
     assert_eq!(call.stream.peer_addr().expect("open"), kept);
 }
 
+// Guards the price of handshakes: where the settings name one, a job goes out on the connection that the last one left, and on a
+// new one where the worker has closed that. One that breaks under a job takes the other kept ones to that worker with it.
+#[test]
+fn where_handshakes_cost_jobs_go_out_on_kept_connections() {
+    let (discovery, worker) = (Server::start(), Server::start());
+    let edits = [(r#""round":"#, r#""prices":{"handshake":0.05},"round":"#)];
+    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], &edits);
+    let mut notices = scheduler.client();
+    let mut clients: Vec<_> = (1..=6).map(|_| scheduler.client()).collect();
+    let mut send = |class: &str, n: usize| {
+        clients[n - 1].job(class, &format!("id-{n}"), 60_000);
+        let call = worker.next();
+        assert_eq!(call.message.header("req-id"), Some(format!("id-{n}").as_str()));
+        (call.stream.peer_addr().expect("open"), call)
+    };
+    // The notices' answers show that the 202s have been read.
+    let mut started = |n: usize| notices.notice(&format!("id-{n}"), "s-a", r#""state":"started""#);
+    let (kept, first) = send("status-check", 1);
+    take(first);
+    started(1);
+    let (again, second) = send("status-check", 2);
+    assert_eq!(again, kept);
+    // While that one is in use, a second one opens.
+    let (beside, third) = send("status-check", 3);
+    assert_ne!(beside, kept);
+    take(third);
+    started(3);
+    take(second);
+    started(2);
+    let (last, fourth) = send("once", 4);
+    assert_eq!(last, kept);
+    fourth.hang_up();
+    (0..2).for_each(|_| worker.ended());
+    // Closed by the worker between jobs, it costs no job anything.
+    let (new, fifth) = send("status-check", 5);
+    assert!(new != kept && new != beside);
+    let closed = fifth.stream.try_clone().expect("a handle");
+    take(fifth);
+    started(5);
+    closed.shutdown(std::net::Shutdown::Both).expect("open");
+    worker.ended();
+    assert_ne!(send("once", 6).0, new);
+    assert_eq!(clients[3].answer().start, "HTTP/1.1 502 Bad Gateway");
+}
+
 // Guards against a job that a worker took without a word: it was waited for until the client gave up. What the worker tells
 // of it, though, shows that it has it.
 #[test]
