Hear the agent that lists of workers are pushed to

Ruled out: the module's permit (it never sends to a worker that it holds as draining), slices of large lists, the reload at 4.5 s (no watch stood before it either).

Cause: the module asks for lists only where the settings say that they must be asked for (Dispatcher::listed), since in the simulator pushed lists come of themselves. On sockets they lie with an agent beside the scheduler, and nobody asked it (Core::act starts a watch on Action::Subscribe only). So on the second deployment no scheduler ever heard of a drain or of a new worker; the rule held only because a draining worker takes no new connection, and kept connections ended that luck.

Now the reducer watches the agent from the start and again 100 ms after a failed call; the watch lets 50 ms pass between two calls that brought nothing, should the agent answer at once. Test: an_agent_that_lists_are_pushed_to_is_heard fails with any of the three taken out (tried).

The first deployment asks for its lists and is not touched by this.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -86,6 +86,8 @@
     Slice,
     /// A worker's pod and zone may count again.
     Unbar(Arc<str>),
+    /// The agent that lists are pushed to may be heard again.
+    Watch,
 }
 
 /// The scheduler's whole state.
@@ -112,6 +114,8 @@
     discovery: SocketAddr,
     version: u64,
     watching: bool,
+    /// Lists come unasked, to an agent beside this process.
+    pushed: bool,
     timers: BTreeMap<(Nanos, u64), Timer>,
     timer_serial: u64,
     stopping: Option<Nanos>,
@@ -143,7 +147,7 @@
     ) -> Result<Self, SettingsError> {
         let (tick, classes) = (settings.tick, settings.classes.len());
         let effects = settings.classes.iter().map(|c| c.effect).collect();
-        let kinds = kinds(&settings, 0);
+        let (kinds, pushed) = (kinds(&settings, 0), !settings.must_ask);
         Ok(Core {
             dispatcher: Dispatcher::new(settings, seed)?,
             tick,
@@ -161,6 +165,7 @@
             discovery,
             version: 0,
             watching: false,
+            pushed,
             timers: BTreeMap::new(),
             timer_serial: 0,
             stopping: None,
@@ -290,12 +295,14 @@
             Input::List { scope, version, hosts } => {
                 self.version = version;
                 self.list(now, scope, hosts, out);
+                self.hear_agent(now, scope, out);
             }
             Input::Reloaded { discovery, settings, names } => {
                 self.reloads += 1;
                 self.names = names;
                 if let Some((settings, like)) = settings {
                     self.tick = settings.tick;
+                    self.pushed = !settings.must_ask;
                     self.kinds = kinds(&settings, self.effects.len());
                     self.effects.extend(settings.classes.iter().map(|c| c.effect));
                     self.ends.resize(self.ends.len() + settings.classes.len(), Ends::default());
@@ -357,8 +364,7 @@
             }
             Action::Tell { peer, data } => out.push(Effect::Tell { peer, data }),
             Action::Subscribe => {
-                self.watching = true;
-                out.push(Effect::Watch { addr: self.discovery, version: self.version });
+                self.watch(out);
             }
             Action::FetchList => out.push(Effect::FetchList { addr: self.discovery }),
             Action::Log(text) => out.push(Effect::Log(text)),
@@ -393,6 +399,7 @@
                 Timer::LeaseEnds(attempt) => self.lease_ends(now, attempt, out),
                 Timer::Slice => self.next_slice(now, out),
                 Timer::Unbar(worker) => self.unbar(now, worker, out),
+                Timer::Watch => self.watch(out),
             }
         }
         self.expire(now, out);
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -24,6 +24,8 @@
 const SLICE: usize = 512;
 /// The pause between slices.
 const BETWEEN: Nanos = MS;
+/// How soon after a failed call an agent is asked again: within the shortest grace for drains that is left after a call.
+const AGENT_AGAIN: Nanos = 100 * MS;
 /// Numbers of pods below are the list's own; from here on they are those that files name by words, and from
 /// [`OWN`] on those of single workers.
 const NAMED: u32 = 1 << 30;
@@ -130,6 +132,21 @@
         }
     }
 
+    pub(crate) fn watch(&mut self, out: &mut Vec<Effect>) {
+        self.watching = true;
+        out.push(Effect::Watch { addr: self.discovery, version: self.version });
+    }
+
+    /// Where lists are pushed, the module waits for them and asks for none. On sockets they lie with an agent on this machine, and
+    /// what it holds counts as told: it is watched from the start, and again soon after a call that failed.
+    pub(crate) fn hear_agent(&mut self, now: Nanos, scope: ListScope, out: &mut Vec<Effect>) {
+        match scope {
+            ListScope::Cached if self.pushed => self.watch(out),
+            ListScope::Failed if self.pushed => self.set_timer(now + AGENT_AGAIN, Timer::Watch),
+            _ => {}
+        }
+    }
+
     /// Takes news of the list, at once or, if there are many, their first slice.
     pub(crate) fn list(&mut self, now: Nanos, scope: ListScope, hosts: Vec<Host>, out: &mut Vec<Effect>) {
         let mut hosts = hosts;
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -11,12 +11,15 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// How long one call of the watch waits for news.
 const WAIT: Duration = Duration::from_secs(4);
 /// How much later than that the answer may come; discovery works through its calls one by one.
 const LATE: Duration = Duration::from_secs(2);
+/// The least time between two calls without news: well under the 200 ms after which a call begins another watch, and under any
+/// grace for drains. An agent that lists are pushed to may answer every call at once.
+const PACE: Duration = Duration::from_millis(50);
 /// The longest list that is read: a few hundred bytes for each of tens of thousands of workers.
 const MAX_LIST: usize = 16 << 20;
 /// A longer list is decoded on a thread of its own: jobs must not wait for it.
@@ -51,7 +54,8 @@
         let (mut wait, mut first, mut whole) = (Duration::ZERO, true, false);
         let mut connection = None;
         loop {
-            let until = Instant::now() + wait + LATE;
+            let begun = Instant::now();
+            let until = begun + wait + LATE;
             let call = match whole {
                 true => wire::whole_list(),
                 false => wire::watch(self.version, wait.as_millis() as u64),
@@ -66,6 +70,8 @@
             let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
             if first || scope == ListScope::Full || !list.hosts.is_empty() {
                 self.tell(scope, list.hosts);
+            } else {
+                sleep_until(begun + PACE).await;
             }
             (wait, first, whole) = (WAIT, false, false);
         }
--- a/crates/spanlead/tests/serve.rs
+++ b/crates/spanlead/tests/serve.rs
@@ -508,6 +508,37 @@
     assert_eq!(discovery.next().message.start, "GET /v1/servers?index=43&wait=0 HTTP/1.1");
 }
 
+// Guards lists that are pushed: the module asks for none there, and nobody listened to the agent that they are pushed to, so jobs went
+// to draining workers and never to new ones. It is heard from the start, again after a call that failed, and an agent that answers
+// every call at once is not asked without a pause.
+#[test]
+fn an_agent_that_lists_are_pushed_to_is_heard() {
+    let (discovery, worker, other) = (Server::start(), Server::start(), Server::start());
+    let pushed = [(r#""discovery":"subscribe""#, r#""discovery":"automatic""#)];
+    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], &pushed);
+    let list = |seq: u64, rows: &str| format!(r#"{{"seq":{seq},"whole":false,"hosts":[{rows}]}}"#);
+    let call = discovery.next();
+    assert_eq!(call.message.start, "GET /v1/servers?index=41&wait=0 HTTP/1.1");
+    call.reply("503 Service Unavailable", "", "");
+    let call = discovery.next();
+    assert_eq!(call.message.start, "GET /v1/servers?index=41&wait=0 HTTP/1.1");
+    let news = [worker.entry("s-a", "leaving"), other.entry("s-b", "active")].join(",");
+    call.reply("200 OK", "", &list(43, &news));
+    let mut calls = vec![];
+    for _ in 0..5 {
+        let call = discovery.next();
+        assert_eq!(call.message.start, "GET /v1/servers?index=43&wait=4000 HTTP/1.1");
+        calls.push(Instant::now());
+        call.reply("200 OK", "", &list(43, ""));
+    }
+    // The first of them follows news and comes at once.
+    assert!(calls[4] - calls[0] >= Duration::from_millis(4 * 40), "asked without a pause");
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 10_000);
+    take(other.next());
+    assert!(worker.unasked());
+}
+
 // Guards a new configuration under load: SIGHUP ended the program before. The file's address goes before the variable's,
 // the watch moves there at once though the old one's call still waits, a faulty file changes nothing, and the job that
 // was out all the while is answered.
