Count aims from a client's first try, worth as the settings say, and let a job wait first

Workers stood idle at 5 to 29 of 100 slots all the while, and the reports that tell of it are up to half a second old. Ruled out: the limiter's targets, calls for room that cross zones, queues counted twice, own completions unused (tried, figures in docs/measurements/norte.md).

At fault in choice.rs: the Round alarm and the limiter took each try for new (arrived + slack); the limiter divided worth by work also where the settings say worthBy work (Dispatcher::taken, settings dropped the field); room() wanted half a free slot where the queue is told to be empty. Now the aim counts from the first try, by the time that is left beside the most that came; tries that can only be late are a lot of their own in the limiter, at what a late answer earns; worthBy is read; a job may be the first to wait where the report tells the queue.

--- a/crates/oatdock/src/api.rs
+++ b/crates/oatdock/src/api.rs
@@ -179,6 +179,8 @@
     pub tenants: Vec<Tenant>,
     /// What a request past its tenant's share is worth, as a fraction.
     pub over_share_worth: f64,
+    /// A request's worth counts for each unit of its work, not for the request.
+    pub worth_by_work: bool,
     /// The list of workers comes only after [`Action::Subscribe`] or [`Action::FetchList`].
     pub must_ask: bool,
     /// What is permitted.
@@ -206,6 +208,7 @@
             classes: Vec::new(),
             tenants: Vec::new(),
             over_share_worth: 1.0,
+            worth_by_work: false,
             must_ask: false,
             limits: Limits {
                 attempts: 1,
--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -47,6 +47,10 @@
 const RECENT: Nanos = 500 * MS;
 /// Workers that last ended an attempt, connection still open, that are looked at beside the walkers'.
 const WARM: usize = 4;
+/// How far under a job's slots a worker's free ones may lie where the job would be the first to wait. Slots come back sooner than
+/// reports show it, so it starts earlier there than if it were held until a free one is seen. Only where reports tell the queue:
+/// else every dispatcher would add to one that none of them sees.
+const SHORT: f64 = 0.5;
 /// Half-life of what is remembered of a worker's failures.
 const MEMORY: Nanos = 10 * SEC;
 
@@ -168,6 +172,9 @@
     log_lag: f64,
     spread: f64,
     samples: f64,
+    /// The most time that a request of the class came with: that of first tries, which clients may give less than the class's
+    /// deadline.
+    longest: Nanos,
 }
 
 /// The decisions of one dispatcher.
@@ -414,7 +421,10 @@
         self.serial += 1;
         let serial = self.serial;
         self.ids.insert(req.id, serial);
-        self.limiter.arrived(req.class as usize);
+        let class = req.class as usize;
+        let longest = self.classes[class].longest.max(req.left);
+        self.classes[class].longest = longest.min(self.set.classes[class].deadline);
+        self.limiter.arrived(self.lot(&req));
         self.retry_tokens = (self.retry_tokens + 0.3).min(10.0);
         let mut tries = Vec::new();
         for t in tried {
@@ -467,8 +477,7 @@
             }
         }
         let Some(job) = self.jobs.get(&serial) else { return };
-        if job.rounds == 0 && job.tries.is_empty() && unit(&mut self.rng) > self.taken(job.req.class as usize)
-        {
+        if job.rounds == 0 && job.tries.is_empty() && unit(&mut self.rng) > self.taken(&job.req) {
             return self.give_up(serial, out);
         }
         if drawn.is_empty() {
@@ -505,11 +514,22 @@
         self.wait_round(now, serial, out);
     }
 
-    /// The part of a class's new requests that is taken.
-    fn taken(&self, class: usize) -> f64 {
-        let work =
+    /// What the limiter counts a request under: its class, and whether its answer can only be late.
+    fn lot(&self, req: &Request) -> usize {
+        2 * req.class as usize + usize::from(self.slack(req) == 0)
+    }
+
+    /// The part of such new requests that is taken.
+    fn taken(&self, req: &Request) -> f64 {
+        let typical =
             |c: usize| self.classes[c].log_lag.exp() * f64::from(u8::from(self.classes[c].samples > 0.0));
-        self.limiter.part(class, &self.set.classes, work)
+        let work = |lot: usize| typical(lot / 2);
+        let worth = |lot: usize| {
+            let class = &self.set.classes[lot / 2];
+            let earned = class.worth * if lot % 2 == 1 { class.late_share.max(0.01) } else { 1.0 };
+            if self.set.worth_by_work { earned } else { earned / work(lot) }
+        };
+        self.limiter.part(self.lot(req), worth, work)
     }
 
     fn wait_round(&mut self, now: Nanos, serial: u64, out: &mut Vec<Action>) {
@@ -980,12 +1000,14 @@
         }
     }
 
-    /// How long a job may wait for its start and still end in time, at the class's typical running time.
-    fn slack(&self, job: &Job) -> Nanos {
-        let class = &self.set.classes[job.req.class as usize];
-        let typical = self.classes[job.req.class as usize].log_lag.exp();
-        let work = typical * job.req.hint.map_or(1.0, |h| h as f64);
-        (class.aim as f64 + (class.stretch - 1.0) * work).max(class.aim as f64 / 4.0) as Nanos
+    /// How long a request may still wait for its start and end in time, at the class's typical running time. A client's later
+    /// tries come with what is left of the first one's time, from which the aim counts.
+    fn slack(&self, req: &Request) -> Nanos {
+        let class = &self.set.classes[req.class as usize];
+        let typical = self.classes[req.class as usize].log_lag.exp();
+        let work = typical * req.hint.map_or(1.0, |h| h as f64);
+        let whole = (class.aim as f64 + (class.stretch - 1.0) * work).max(class.aim as f64 / 4.0) as Nanos;
+        whole.saturating_sub(self.classes[req.class as usize].longest.saturating_sub(req.left))
     }
 
     // ------------------------------------------------------------ deadlines
@@ -1006,7 +1028,8 @@
                 let Some(job) = self.jobs.get(&serial).filter(|j| j.phase == Phase::Held) else { return };
                 // No walker has found room for as long as the job could wait and still end in time: the
                 // fleet is overloaded. Joining a queue now would make this job late and the next ones too.
-                if now >= job.arrived + self.slack(job) {
+                let aim = self.set.classes[job.req.class as usize].aim;
+                if now >= job.arrived + self.slack(&job.req).max(aim / 4) {
                     return self.give_up(serial, out);
                 }
                 self.decide(now, serial, out);
@@ -1058,7 +1081,11 @@
 /// this dispatcher's own jobs, where workers tell starts: none may still wait there that goes before.
 fn room(worker: &Worker, slots: f64, ahead: u32, now: Nanos, tick: Nanos, age: f64) -> bool {
     match (worker.report.free_slots, worker.report.backlog) {
-        (Some(free), _) => free - worker.recent(now, age) >= slots - 0.5,
+        (Some(free), queue) => {
+            // Nobody waits there by its report, nor does a job of ours.
+            let first = queue.is_some_and(|q| q < 1.0) && worker.waiting == 0;
+            free - worker.recent(now, age) >= slots - 0.5 - if first { SHORT } else { 0.0 }
+        }
         (None, Some(backlog)) => backlog + worker.recent(now, age) < 1.0,
         (None, None) => ahead == 0 || now < worker.used_at + 3 * tick,
     }
--- a/crates/oatdock/src/limiter/tests.rs
+++ b/crates/oatdock/src/limiter/tests.rs
@@ -1,12 +1,8 @@
 use super::*;
 
-fn classes(worths: &[f64]) -> Vec<Class> {
-    worths.iter().map(|w| Class { worth: *w, ..Class::new(1, 1) }).collect()
-}
-
 fn parts(admit: f64, seen: &[f64], worths: &[f64], work: &[f64]) -> Vec<f64> {
     let limiter = Limiter { admit, seen: seen.to_vec() };
-    (0..seen.len()).map(|c| limiter.part(c, &classes(worths), |c| work[c])).collect()
+    (0..seen.len()).map(|l| limiter.part(l, |l| worths[l] / work[l], |l| work[l])).collect()
 }
 
 // Guards the sum: whatever the classes are, the work that is taken is the admitted part of what comes.
--- a/crates/oatdock/tests/behaviour.rs
+++ b/crates/oatdock/tests/behaviour.rs
@@ -388,6 +388,100 @@
     assert!(world.trace.iter().any(|a| matches!(a, Action::Refuse { retry_after: Some(t), .. } if *t > 0)));
 }
 
+/// Found at the second deployment, whose workers tell their queue: slots came back unseen while jobs were held for a report of one. A
+/// job may be the first to wait, by the report and by our own count; nobody joins a queue, and none where it is not told.
+#[test]
+fn a_job_may_be_the_first_to_wait_where_the_queue_is_told() {
+    let sent = |backlog: Option<f64>, jobs: u64| {
+        let mut set = Settings { tells_start: true, ..probing() };
+        set.classes[0].aim = SEC;
+        let mut world = World::new(set, 5);
+        world.ready(1);
+        // So long after each other that reports would show the one before.
+        for id in 0..jobs {
+            world.ask(request(id, 60 * SEC));
+            for _ in 0..400 {
+                answer(&mut world, |_| Report { free_slots: Some(0.3), backlog, ..Report::default() });
+                world.pass(5 * MS, false);
+            }
+        }
+        (0..jobs).map(|id| world.sends(id).len()).sum::<usize>()
+    };
+    assert_eq!(sent(Some(0.0), 1), 1);
+    assert_eq!(sent(Some(0.0), 4), 1, "one of ours waits there already");
+    assert_eq!(sent(Some(2.0), 1), 0, "others wait there");
+    assert_eq!(sent(None, 1), 0, "nobody knows who waits there");
+}
+
+/// Found at the second deployment: a client's later tries looked like new requests, were held as long as these, and took the slots of
+/// those that could still be in time. A class whose clients give less than its deadline is no class of later tries.
+#[test]
+fn a_try_that_can_only_be_late_is_not_held_like_a_first_one() {
+    let held = |lefts: [Nanos; 2]| {
+        let mut set = probing();
+        (set.classes[0].deadline, set.classes[0].aim) = (2 * SEC, 400 * MS);
+        let mut world = World::new(set, 5);
+        world.ready(2);
+        let waits = lefts.iter().zip(1..).map(|(left, id)| {
+            world.ask(request(id, *left));
+            let from = world.now;
+            while !world.checker.requests[&id].closed && world.now < from + 10 * SEC {
+                answer(&mut world, |_| Report { free_slots: Some(0.0), ..Report::default() });
+                world.pass(5 * MS, false);
+            }
+            world.now - from
+        });
+        waits.collect::<Vec<_>>()
+    };
+    let later = held([2 * SEC, SEC]);
+    assert!((400 * MS..SEC).contains(&later[0]) && later[1] <= 300 * MS, "{later:?}");
+    let short = held([SEC, SEC]);
+    assert!(short[1] >= 400 * MS, "all come with as much: {short:?}");
+}
+
+/// Found at the second deployment, where worth counts by work: the limiter took it for each request's own, and held short jobs dear.
+#[test]
+fn when_there_is_no_room_worth_counts_as_the_settings_say() {
+    let parts = |worth_by_work: bool| {
+        let mut set = probing();
+        let class = Class { worth: 1.0, late_share: 0.5, ..set.classes[0].clone() };
+        set.classes = vec![class.clone(), Class { worth: 4.0, ..class }];
+        set.worth_by_work = worth_by_work;
+        set.reports = ReportVia::Probe;
+        let mut world = World::new(set, 5);
+        world.ready(4);
+        let (mut asked, mut taken) = ([0.0; 2], [0.0; 2]);
+        for id in 0..3000u64 {
+            let class = id as usize % 2;
+            // Jobs of the second class run sixteen times as long.
+            let full = id >= 200;
+            let before = world.probes.len();
+            world.ask(Request { class: class as u32, ..request(id, 2 * SEC) });
+            if full {
+                asked[class] += 1.0;
+                taken[class] += f64::from(u8::from(world.probes.len() > before));
+            }
+            answer(&mut world, |_| Report {
+                free_slots: Some(if full { 0.0 } else { 2.0 }),
+                ..Report::default()
+            });
+            world.pass(5 * MS, false);
+            if !full {
+                world.pass(if class == 0 { 5 * MS } else { 80 * MS }, false);
+                world.end(id, 0, Outcome::Ok);
+            } else {
+                world.pass(2 * SEC, false);
+            }
+        }
+        taken[0] / asked[0] / (taken[1] / asked[1])
+    };
+    let (by_request, by_work) = (parts(false), parts(true));
+    assert!(
+        by_request > 1.3 && by_work < 0.8,
+        "short jobs beside long ones: {by_request:.2} and {by_work:.2}"
+    );
+}
+
 /// Found at the surfacing deployment: each job fetched its key anew, since walkers carried it everywhere.
 #[test]
 fn dispatchers_meet_at_the_same_few_workers_for_a_key() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -225,6 +225,11 @@
         Some("none") | None => od::ReportVia::None,
         Some(other) => return Err(BadField::new("report.via", format!("unknown value `{other}`"))),
     };
+    let worth_by_work = match o.worth_by.as_deref() {
+        Some("request") | None => false,
+        Some("work") => true,
+        Some(other) => return Err(BadField::new("worthBy", format!("unknown value `{other}`"))),
+    };
     let (l, p, r) = (&o.limits, &o.prices, &o.rules);
     if l.max_attempts == Some(0) {
         return Err(BadField::new("limits.maxAttempts", "must be positive"));
@@ -238,6 +243,7 @@
         classes,
         tenants: o.tenants.iter().map(|t| od::Tenant { quota_per_s: t.quota_per_s.unwrap_or(0.0) }).collect(),
         over_share_worth: o.over_share_worth.unwrap_or(1.0),
+        worth_by_work,
         must_ask,
         limits: od::Limits {
             attempts: l.max_attempts.unwrap_or(1),
@@ -299,6 +305,7 @@
     pub n_instances: Option<u32>,
     #[serde(default)]
     pub over_share_worth: Option<f64>,
+    pub worth_by: Option<String>,
     #[serde(default)]
     pub prices: Prices,
     #[serde(default)]
