--- a/crates/spanlead/tests/command.rs
+++ b/crates/spanlead/tests/command.rs
@@ -45,6 +45,7 @@
         good.replace(r#""effect":"idempotent""#, r#""effect":"sometimes""#),
         good.replace(r#""aim":300000000,"deadline":7500000000,"effect":"at"#, r#""aim":-1,"effect":"at"#),
         good.replace(r#""nInstances":1"#, r#""nInstances":0"#),
+        good.replace(r#""nInstances":1"#, r#""nInstances":1,"worthBy":"hours""#),
         good.replace(r#""sockets":128"#, r#""sockets":8"#),
         good.replace(r#""memory_mb":192"#, r#""memory_mb":1"#),
         good.replace("8c1f30d27a5be964", "seed"),
@@ -61,6 +62,7 @@
     spanlead: configuration key `settings.grades[0].effect`: unknown effect `sometimes`
     spanlead: configuration key `settings.grades[2].aim`: invalid value: integer `-1`, expected u64 at line 4 column 305
     spanlead: configuration key `settings.nInstances`: does not cover this dispatcher's number
+    spanlead: configuration key `settings.worthBy`: unknown value `hours`
     spanlead: configuration key `limits.sockets`: must be at least 64
     spanlead: configuration key `limits.memory_mb`: must be at least 16
     spanlead: configuration key `seed`: invalid digit found in string
