--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -47,9 +47,10 @@
 const RECENT: Nanos = 500 * MS;
 /// Workers that last ended an attempt, connection still open, that are looked at beside the walkers'.
 const WARM: usize = 4;
-/// How far under a job's slots a worker's free ones may lie where the job would be the first to wait. Slots come back sooner than
-/// reports show it, so it starts earlier there than if it were held until a free one is seen. Only where reports tell the queue:
-/// else every dispatcher would add to one that none of them sees.
+/// How far under a job's slots a worker's free ones may lie where the job would be the first to wait. Slots
+/// come back sooner than reports show it, so it starts earlier there than if it were held until a free one
+/// is seen. Only where reports tell the queue: else every dispatcher would add to one that none of them
+/// sees.
 const SHORT: f64 = 0.5;
 /// Half-life of what is remembered of a worker's failures.
 const MEMORY: Nanos = 10 * SEC;
@@ -172,8 +173,8 @@
     log_lag: f64,
     spread: f64,
     samples: f64,
-    /// The most time that a request of the class came with: that of first tries, which clients may give less than the class's
-    /// deadline.
+    /// The most time that a request of the class came with: that of first tries, which clients may give less
+    /// than the class's deadline.
     longest: Nanos,
 }
 
@@ -1000,8 +1001,8 @@
         }
     }
 
-    /// How long a request may still wait for its start and end in time, at the class's typical running time. A client's later
-    /// tries come with what is left of the first one's time, from which the aim counts.
+    /// How long a request may still wait for its start and end in time, at the class's typical running time.
+    /// A client's later tries come with what is left of the first one's time, from which the aim counts.
     fn slack(&self, req: &Request) -> Nanos {
         let class = &self.set.classes[req.class as usize];
         let typical = self.classes[req.class as usize].log_lag.exp();
--- a/crates/oatdock/src/limiter.rs
+++ b/crates/oatdock/src/limiter.rs
@@ -1,10 +1,11 @@
 //! What part of the new requests is taken when the fleet has no room for all, and of which classes.
 //!
-//! How much is taken in all follows signs of room. Which lots it is made of (a lot: the requests of a class that
-//! can still be in time, or those that can't) follows what a second of a worker is worth with each: of the work
-//! that can be taken, a lot gets its part by the square root of the worth of its work, never more than comes of
-//! it. So one whose jobs are short and dear is taken nearly whole, and the others share what is left. The root, since the worst-served class counts too: by the worth
-//! itself the whole day's worth is a little higher and the worst class's lower.
+//! How much is taken in all follows signs of room. Which lots it is made of (a lot: the requests of a class
+//! that can still be in time, or those that can't) follows what a second of a worker is worth with each: of
+//! the work that can be taken, a lot gets its part by the square root of the worth of its work, never more
+//! than comes of it. So one whose jobs are short and dear is taken nearly whole, and the others share what
+//! is left. The root, since the worst-served class counts too: by the worth itself the whole day's worth is
+//! a little higher and the worst class's lower.
 /// The admitted part moves by this much for a sign of room, against a target share of such signs: of probed
 /// workers that report a free slot, and of jobs that start within half of their aim.
 const GAIN: f64 = 0.03;
@@ -47,8 +48,9 @@
         self.admit = (self.admit * (GAIN * sign).exp()).clamp(FLOOR, 1.0);
     }
 
-    /// The part of a lot's requests that is taken. `worth` is that of a second of a worker with each lot, `work` how long its
-    /// jobs run, 0 where that is not known; while it is unknown of a lot that comes, all are taken alike.
+    /// The part of a lot's requests that is taken. `worth` is that of a second of a worker with each lot,
+    /// `work` how long its jobs run, 0 where that is not known; while it is unknown of a lot that comes, all
+    /// are taken alike.
     pub fn part(&self, lot: usize, worth: impl Fn(usize) -> f64, work: impl Fn(usize) -> f64) -> f64 {
         let all: Vec<usize> = (0..self.seen.len()).filter(|l| self.seen[*l] > 1e-3).collect();
         let known = all.iter().all(|l| work(*l) > 0.0 && worth(*l) > 0.0);
