--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,7 +2,7 @@
 """Plays days of the operators' benches over kinds and seeds, and prints a table of what came of each.
 
     bench/fleet.py --kit FOLDER [--bench mass|vast|real|sim] [--site FILE] [--kinds join+mass,roll+mass] [--seeds 1,2,3]
-                   [--at-once 2] [--nodes N] [--against CHECKOUT] [--no-build] [--keep FOLDER]
+                   [--at-once 2] [--cpus 0,1,2] [--nodes N] [--against CHECKOUT] [--no-build] [--keep FOLDER]
 
 FOLDER is the kit's own, which holds the benches and `sites/`; nothing of it is copied. `mass` is the standing test (about 300
 schedulers), `vast` the growing fleet (about 100), `real` the days on real sockets (one at a time, on a machine that does nothing
@@ -37,6 +37,7 @@
     parser.add_argument("--kinds", help="default: all of the bench")
     parser.add_argument("--seeds", default="1,2,3,4,5")
     parser.add_argument("--at-once", type=int, default=2, help="days played side by side")
+    parser.add_argument("--cpus", help="cores that nothing else uses, as 0,1,2: for `real`, one day at a time")
     parser.add_argument("--nodes", type=int, help="fewer schedulers: a look that does not count")
     parser.add_argument("--against", type=pathlib.Path, help="a checkout of another version, played on the same days")
     parser.add_argument("--no-build", action="store_true", help="the programs are built already")
@@ -61,6 +62,7 @@
         return simulate(args, bench, folder, kind, seed, other)
     command = [bench, args.kit / args.site, "--rough", kind, "--seed", str(seed), "--no-build", "--json", report, "--why", args.why]
     command += ["--nodes", str(args.nodes)] if args.nodes else []
+    command += ["--cpus", args.cpus] if args.cpus else []
     try:
         done = run(command, other)
     except subprocess.TimeoutExpired:
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -3,7 +3,9 @@
 //! time counts from when it should have come, so that a stall is not left out of the tail (coordinated omission; Tene,
 //! "How NOT to Measure Latency", 2013).
 use crate::spec::{Experiment, Law, Repeats};
-use spanlead_standin::{Class, Fleet, FleetPlan, Load, Plan, Record, Scheduler, Scope, Summary, config};
+use spanlead_standin::{
+    Class, Deployment, Fleet, FleetPlan, Load, Plan, Record, Scheduler, Scope, Summary, config,
+};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -51,8 +53,7 @@
 /// The classes as stand-ins run them, `scale` times as long.
 fn classes(experiment: &Experiment, scale: f64) -> Vec<Class> {
     let class = |c: &crate::spec::ClassSpec| Class {
-        // A process plays a few loads in its life: their names may stay.
-        name: Box::leak(c.name.clone().into_boxed_str()),
+        name: c.name.clone(),
         scope: match c.repeats {
             Repeats::Harmless => Scope::Safe,
             Repeats::Pod => Scope::Cell,
@@ -61,9 +62,14 @@
         },
         window: Duration::from_secs_f64(c.window_s),
         run: Duration::from_secs_f64(c.run_ms / 1000.0 * scale),
+        cv: c.cv,
+        aim: Duration::from_secs_f64(c.aim_ms / 1000.0),
+        stretch: c.stretch,
         deadline: Duration::from_secs_f64(c.deadline_s),
         worth: c.worth,
+        late: c.late,
         share: c.share,
+        memory: (0.0, 0.0),
     };
     experiment.classes.iter().map(class).collect()
 }
@@ -97,8 +103,13 @@
     }
     let folder = tempfile::tempdir()?;
     let record = Record::new();
-    let mut plan = FleetPlan::new(f.workers as usize, scale, seed);
-    (plan.slots, plan.queue, plan.classes) = (f.slots as usize, f.queue as usize, classes(experiment, scale));
+    let mut deployment = Deployment::default_one(Some(scale));
+    (deployment.queue, deployment.classes) = (f.queue as usize, classes(experiment, scale));
+    for kind in &mut deployment.kinds {
+        (kind.slots, kind.cores) = (f.slots as usize, f.cores.min(f.slots) as usize);
+    }
+    let owners = deployment.tenants.clone();
+    let plan = FleetPlan::of(deployment, f.workers as usize, seed);
     let fleet = Fleet::start(plan, record.clone()).await?;
     let listed = fleet.classes().to_vec();
     let (mut scheduler, mut relay) = (None, None);
@@ -135,7 +146,7 @@
     let jobs = (rate * experiment.load.duration_s) as u64;
     let before = cpu_of(id);
     let load = Load::new(addr, record);
-    let plan = Plan { jobs, rate, at_once: 4096, doubled: 0.0, only: Vec::new(), seed };
+    let plan = Plan { jobs, rate, at_once: 4096, doubled: 0.0, only: Vec::new(), owners, seed };
     let summary = load.play(&plan, &listed).await;
     let cpu = cpu_of(id) - before;
     if let Some(mut process) = scheduler {
--- a/crates/lab/src/spec.rs
+++ b/crates/lab/src/spec.rs
@@ -1,5 +1,6 @@
 //! Experiments: TOML files, read and checked. Every time is in the unit that its name ends with.
 use serde::{Deserialize, Serialize};
+use spanlead_standin::Scope;
 use std::fmt;
 use std::path::Path;
 use toml::Value;
@@ -250,6 +251,9 @@
     /// How that varies: `exponential`, `lognormal` or `constant`.
     #[serde(default)]
     pub law: Law,
+    /// The coefficient of variation, for `lognormal`.
+    #[serde(default = "six_tenths")]
+    pub cv: f64,
     /// Wanted within this, and `stretch` times its own running time.
     pub aim_ms: f64,
     /// See `aim_ms`.
@@ -275,6 +279,10 @@
     1.0
 }
 
+fn six_tenths() -> f64 {
+    0.6
+}
+
 fn window() -> f64 {
     25.0
 }
@@ -283,7 +291,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Law {
-    /// By a lognormal law whose deviation is 0.6 of the mean.
+    /// By a lognormal law with the class's coefficient of variation.
     #[default]
     Lognormal,
     /// By the exponential law.
@@ -402,7 +410,80 @@
         key: String::new(),
         why: e.to_string(),
     })?;
-    parse(&file, &text)
+    let of = path.parent().unwrap_or(Path::new("."));
+    match in_deployment(&text, of).map_err(|why| SpecError {
+        file: file.clone(),
+        at: None,
+        key: "deployment".into(),
+        why,
+    })? {
+        // What it says is of the file with the deployment's values put in, whose lines nobody has seen.
+        Some(filled) => parse(&file, &filled).map_err(|e| SpecError { at: None, ..e }),
+        None => parse(&file, &text),
+    }
+}
+
+/// An experiment that names a deployment's file, `deployment = "FILE"` beside its own, with that one's classes and workers put in
+/// where it says nothing itself; `None` if it names none.
+fn in_deployment(text: &str, folder: &Path) -> Result<Option<String>, String> {
+    // What is no TOML is told of with its place later.
+    let Ok(mut table) = toml::from_str::<toml::Table>(text) else { return Ok(None) };
+    let Some(name) = table.remove("deployment") else { return Ok(None) };
+    let name = name.as_str().ok_or("is no text")?;
+    // Running times here are those of service.
+    let d = spanlead_standin::Deployment::read(&folder.join(name), Some(1.0)).map_err(|e| e.to_string())?;
+    let ms = |span: std::time::Duration| Value::Float(span.as_secs_f64() * 1000.0);
+    let classes = d.classes.iter().map(|c| {
+        let repeats = match c.scope {
+            Scope::Safe => "harmless",
+            Scope::Cell => "pod",
+            Scope::Zone => "zone",
+            Scope::All => return Err(format!("class {}: repeats that all drop are not modelled", c.name)),
+            Scope::Never => "never",
+        };
+        let mut class = toml::Table::new();
+        class.insert("name".into(), Value::String(c.name.clone()));
+        class.insert("repeats".into(), Value::String(repeats.into()));
+        for (key, value) in [
+            ("share", Value::Float(c.share)),
+            ("run_ms", ms(c.run)),
+            ("cv", Value::Float(c.cv)),
+            ("aim_ms", ms(c.aim)),
+            ("stretch", Value::Float(c.stretch)),
+            ("deadline_s", Value::Float(c.deadline.as_secs_f64())),
+            ("worth", Value::Float(c.worth)),
+            ("late", Value::Float(c.late)),
+            ("window_s", Value::Float(c.window.as_secs_f64().max(0.001))),
+        ] {
+            class.insert(key.into(), value);
+        }
+        Ok(Value::Table(class))
+    });
+    let classes = classes.collect::<Result<Vec<_>, String>>()?;
+    table.entry("class").or_insert(Value::Array(classes));
+    let fleet = table.entry("fleet").or_insert(Value::Table(toml::Table::new()));
+    let fleet = fleet.as_table_mut().ok_or("`fleet` is no table")?;
+    let whole = |n: usize| Value::Integer(n as i64);
+    // The model knows one number of slots, and speeds in turn.
+    let first = &d.kinds[0];
+    let speeds = (0..20).map(|i| Value::Float(d.kind(i).speed));
+    for (key, value) in [
+        ("zones", whole(d.zones.len())),
+        ("pod", whole(d.pod)),
+        ("cores", whole(first.cores)),
+        ("slots", whole(first.slots)),
+        ("queue", whole(d.queue)),
+        ("speeds", Value::Array(speeds.collect())),
+        ("cold_s", Value::Float(d.cold.as_secs_f64())),
+        ("cold_from", Value::Float(d.cold_from)),
+        ("tip_multiple", Value::Float(d.tip_multiple)),
+        ("tip_s", Value::Float(d.tip.as_secs_f64())),
+        ("probe_ms", ms(d.probe_work)),
+        ("report_ms", Value::Float((d.every.as_secs_f64() * 1000.0).max(1.0))),
+    ] {
+        fleet.entry(key).or_insert(value);
+    }
+    toml::to_string(&table).map(Some).map_err(|e| e.to_string())
 }
 
 /// Reads a text; `file` is its name in messages.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -405,7 +405,7 @@
             })
             .unwrap_or(last);
         let c = &self.spec.classes[class];
-        let work = c.run_ms * MS as f64 * draw(c.law, &mut self.work);
+        let work = c.run_ms * MS as f64 * draw(c.law, c.cv, &mut self.work);
         self.jobs.push(Wanted {
             class: class as u16,
             tries: 0,
@@ -1098,9 +1098,9 @@
     Left,
 }
 
-fn draw(law: Law, rng: &mut Stream) -> f64 {
+fn draw(law: Law, cv: f64, rng: &mut Stream) -> f64 {
     match law {
-        Law::Lognormal => rng.lognormal(0.6),
+        Law::Lognormal => rng.lognormal(cv),
         Law::Exponential => rng.exponential(),
         Law::Constant => 1.0,
     }
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -335,3 +335,22 @@
             || page.matches("http://").count() == page.matches("http://www.w3.org/2000/svg").count()
     );
 }
+
+// An experiment may name a deployment's file: its classes and workers are that one's, and what the experiment says itself goes before.
+// A file that is not there or faulty is told by its own name.
+#[test]
+fn an_experiment_takes_a_deployment_s_file() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab");
+    let e = spanlead_lab::spec::read(&folder.join("engraving.toml")).unwrap_or_else(|e| panic!("{e}"));
+    let names: Vec<&str> = e.classes.iter().map(|c| c.name.as_str()).collect();
+    assert_eq!(names, ["page-preview", "full-score", "print-order"]);
+    assert_eq!((e.classes[1].run_ms, e.classes[1].cv, e.classes[1].window_s), (900.0, 2.0, 15.0));
+    assert_eq!((e.fleet.workers, e.fleet.zones, e.fleet.handshake_ms, e.fleet.probe_ms), (12, 3, 3.0, 2.5));
+    let scratch = tempfile::tempdir().expect("a folder");
+    let faulty = scratch.path().join("e.toml");
+    let text = std::fs::read_to_string(folder.join("engraving.toml")).expect("there");
+    std::fs::write(&faulty, text.replace("../deploy/deployments/engraving.toml", "d.toml")).expect("written");
+    std::fs::write(scratch.path().join("d.toml"), "zones = []\n").expect("written");
+    let told = spanlead_lab::spec::read(&faulty).expect_err("it is faulty").to_string();
+    assert!(told.contains("d.toml:1: zones: is empty") && told.contains("list.mode: is missing"), "{told}");
+}
--- /dev/null
+++ b/crates/oatdock/src/choice/lists.rs
@@ -0,0 +1,136 @@
+//! The list of workers: what it says, and when it is asked for.
+use super::*;
+
+impl Dispatcher {
+    pub(super) fn members(
+        &mut self,
+        now: Nanos,
+        scope: ListScope,
+        entries: &[Entry<'_>],
+        out: &mut Vec<Action>,
+    ) {
+        let (mut listed, mut moved) = (vec![false; self.workers.len()], Vec::new());
+        for entry in entries {
+            let i = self.upsert(now, entry, &mut moved);
+            if let Some(seen) = listed.get_mut(i as usize) {
+                *seen = true;
+            }
+        }
+        if matches!(scope, ListScope::Full | ListScope::Cached) {
+            for i in (0..listed.len()).filter(|&i| !listed[i]) {
+                self.set_state(i as u32, WorkerState::Gone, self.workers[i].kind, &mut moved);
+            }
+        }
+        if !moved.is_empty() {
+            self.graphs.iter_mut().for_each(|g| g.settle(&self.workers, &moved));
+        }
+        self.capacity_at = 0;
+        self.listed(scope, out);
+    }
+
+    pub(super) fn upsert(&mut self, now: Nanos, entry: &Entry<'_>, moved: &mut Vec<u32>) -> u32 {
+        let known = self.index.get(entry.worker).copied();
+        let i = known.unwrap_or_else(|| {
+            let id: Arc<str> = Arc::from(entry.worker);
+            let i = self.workers.len() as u32;
+            self.index.insert(id.clone(), i);
+            self.workers.push(Worker {
+                hash: std::array::from_fn(|c| xxh3_64_with_seed(id.as_bytes(), c as u64)),
+                id: WorkerId(id),
+                state: WorkerState::Gone,
+                started: None,
+                kind: entry.kind,
+                zone: entry.zone,
+                cell: entry.cell,
+                weight: 1.0,
+                own: 0.0,
+                idle_conns: 0,
+                used_at: 0,
+                report: Report::default(),
+                report_at: None,
+                most_memory: None,
+                changed_at: 0,
+                repeats: 0,
+                smooth: 0.0,
+                smooth_at: 0,
+                waiting: 0,
+                waiting_top: 0,
+                probe_out: None,
+                probe_ok_at: None,
+                full_until: 0,
+                fulls: 0,
+                slow: 0.0,
+                samples: 0.0,
+                strikes: 0,
+                ejected_until: 0,
+                struck_at: 0,
+                window_end: 0,
+                window_left: 0.0,
+            });
+            i
+        });
+        let worker = &mut self.workers[i as usize];
+        if worker.state == WorkerState::Ready {
+            self.weight_sum += entry.weight - worker.weight;
+        }
+        (worker.weight, worker.zone, worker.cell) = (entry.weight, entry.zone, entry.cell);
+        if entry.started != worker.started {
+            // A restart under the same id: what was learned was of the process before.
+            worker.started = entry.started.map(|t| t.min(now));
+            worker.ejected_until = 0;
+            worker.strikes = 0;
+            worker.idle_conns = 0;
+            (worker.report_at, worker.most_memory) = (None, None);
+            (worker.window_end, worker.window_left) = (0, 0.0);
+        }
+        self.set_state(i, entry.state, entry.kind, moved);
+        i
+    }
+
+    pub(super) fn set_state(&mut self, i: u32, state: WorkerState, kind: u32, moved: &mut Vec<u32>) {
+        let worker = &mut self.workers[i as usize];
+        let counted = |s| f64::from(u8::from(s == WorkerState::Ready)) * worker.weight;
+        self.weight_sum += counted(state) - counted(worker.state);
+        if (worker.state, worker.kind) != (state, kind) {
+            moved.push(i);
+        }
+        (worker.state, worker.kind) = (state, kind);
+    }
+
+    pub(super) fn listed(&mut self, scope: ListScope, out: &mut Vec<Action>) {
+        if !self.set.must_ask {
+            return;
+        }
+        let every = self.set.rules.ask_every.max(SEC);
+        match scope {
+            ListScope::Cached => {
+                // Dispatchers that start together must not call together.
+                let spread = (u64::from(self.set.instances) * 40 * MS).min(every / 2);
+                let after = (unit(&mut self.rng) * spread as f64) as Nanos;
+                out.push(Action::Timer { after, token: Alarm::Discovery as u64 });
+            }
+            ListScope::Failed => {
+                self.subscribed = false;
+                self.asking = false;
+                self.ask_failures = (self.ask_failures + 1).min(4);
+                let wait = ((SEC / 4) << self.ask_failures).min(every) as f64;
+                let after = (wait * (0.5 + unit(&mut self.rng))) as Nanos;
+                out.push(Action::Timer { after, token: Alarm::Discovery as u64 });
+            }
+            ListScope::Changes | ListScope::Full => {
+                if self.asking {
+                    self.subscribed = true;
+                }
+                self.asking = false;
+                self.ask_failures = 0;
+            }
+        }
+    }
+
+    pub(super) fn ask(&mut self, out: &mut Vec<Action>) {
+        if !self.subscribed && !self.asking {
+            self.asking = true;
+            out.push(Action::Subscribe);
+        }
+    }
+}
--- a/crates/oatdock/src/worker.rs
+++ b/crates/oatdock/src/worker.rs
@@ -20,7 +20,9 @@
     /// The last report with its time.
     pub report: Report,
     pub report_at: Option<Nanos>,
-    /// When it last changed, and how often it has come again since.
+    /// The most memory that it has been seen with free since it started; `None` if it was not heard of.
+    pub most_memory: Option<f64>,
+    /// When the report last changed, and how often it has come again since.
     pub changed_at: Nanos,
     pub repeats: u32,
     /// Own slots in flight as an old report may have seen them: a smoothed count and its time.
--- a/crates/oatdock/tests/behaviour.rs
+++ b/crates/oatdock/tests/behaviour.rs
@@ -687,3 +687,31 @@
         assert!(error.to_string().contains(name));
     }
 }
+
+// Guards jobs that no worker has the memory for: one was held until its time was up, and where reports come seldom it went to one
+// worker after the other and made each look full. A worker that was not heard of yet, or has just started, may have it.
+#[test]
+fn what_no_worker_has_the_memory_for_is_given_up_at_once() {
+    let mut world = World::new(probing(), 3);
+    world.ready(2);
+    let large = |world: &mut World, id: u64| world.ask(Request { memory: 5.0, ..request(id, SEC) });
+    let report =
+        |memory: f64| Report { free_slots: Some(1.0), free_memory: Some(memory), ..Report::default() };
+    let hear = |world: &mut World, worker: &str, memory: f64| {
+        let report = Some(report(memory));
+        world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report });
+    };
+    hear(&mut world, "w0", 2.0);
+    assert!(!refused(&large(&mut world, 1)), "w1 was not heard of");
+    hear(&mut world, "w1", 4.0);
+    assert!(refused(&large(&mut world, 2)), "held in vain");
+    hear(&mut world, "w1", 6.0);
+    hear(&mut world, "w1", 1.0);
+    assert!(!refused(&large(&mut world, 3)), "it has had as much, and may again");
+    assert!(
+        world
+            .ask(Request { memory: 0.0, ..request(4, SEC) })
+            .iter()
+            .all(|a| !matches!(a, Action::Refuse { .. }))
+    );
+}
--- a/crates/spanlead/examples/large_list.rs
+++ b/crates/spanlead/examples/large_list.rs
@@ -74,7 +74,7 @@
     let workers: usize = std::env::args().nth(1).map_or(Ok(20_000), |n| n.parse())?;
     let folder = tempfile::tempdir()?;
     let inventory = folder.path().join("hosts.csv");
-    let discovery = Discovery::start(Record::new()).await?;
+    let discovery = Discovery::start(Record::new(), std::time::Duration::ZERO).await?;
     let listed = |i: usize, born_ms: u64| Listed {
         host: format!("w{i:05}.kista.example.org"),
         dial: SocketAddr::from(([127, 0, 0, 1], 9)),
--- a/crates/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -12,7 +12,8 @@
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
 
-/// The job scheduler of stockholm-members.
+/// A job scheduler: takes jobs from clients, picks a worker for each, and gives every client one final answer, in time. What the
+/// deployment is like it reads from the settings.
 #[derive(Parser)]
 struct Cli {
     #[command(subcommand)]
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -6,7 +6,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use spanlead_standin::check::{Broken, RULES, check};
-use spanlead_standin::{Fleet, FleetPlan, Keeper, Load, Plan, Record, Scheduler, Summary, What, config};
+use spanlead_standin::{
+    Deployment, Fleet, FleetPlan, Keeper, Load, Plan, Record, Scheduler, Summary, What, config,
+};
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -21,15 +23,18 @@
     /// Jobs a second.
     #[arg(long, default_value_t = 120.0)]
     rate: f64,
-    /// Stand-in workers, of two slots each; two in five are slow.
+    /// Stand-in workers, of the deployment's kinds.
     #[arg(long, default_value_t = 12)]
     workers: usize,
     /// Clients at a time.
     #[arg(long, default_value_t = 256)]
     clients: usize,
-    /// How long jobs run, against the deployment's (0.4 to 5 s).
-    #[arg(long, default_value_t = 0.02)]
-    scale: f64,
+    /// The deployment that is played, a TOML file (`deploy/deployments/` has two); without, a membership service's.
+    #[arg(long, value_name = "FILE")]
+    deployment: Option<PathBuf>,
+    /// How long jobs run, against the deployment's; without, what its file says.
+    #[arg(long)]
+    scale: Option<f64>,
     /// For everything drawn at random; drawn itself if not given, and printed.
     #[arg(long)]
     seed: Option<u64>,
@@ -59,9 +64,9 @@
     /// pods, zones, kinds and weights are the file's.
     #[arg(long, default_value_t = 0)]
     inventory: u32,
-    /// The share of keyed jobs that two clients bring at once.
-    #[arg(long, default_value_t = 0.05)]
-    doubled: f64,
+    /// The share of keyed jobs that two clients bring at once; without, what the deployment says.
+    #[arg(long)]
+    doubled: Option<f64>,
     /// Only jobs of this class; may be given again.
     #[arg(long)]
     only: Vec<String>,
@@ -124,7 +129,14 @@
         let folder = self.folder.clone().unwrap_or_else(|| scratch.path().to_owned());
         std::fs::create_dir_all(&folder)?;
         let record = Record::new();
-        let mut plan = FleetPlan::new(self.workers, self.scale, seed);
+        let deployment = match &self.deployment {
+            Some(file) => Deployment::read(file, self.scale)
+                .map_err(|faults| format!("the deployment can't be played:\n{faults}"))?,
+            None => Deployment::default_one(self.scale),
+        };
+        let (doubled, owners) = (self.doubled.unwrap_or(deployment.doubled), deployment.tenants.clone());
+        let grace = deployment.drain_grace;
+        let mut plan = FleetPlan::of(deployment, self.workers, seed);
         plan.leases = self.leases;
         plan.bare = self.inventory > 0;
         let mut fleet = Fleet::start(plan, record.clone()).await?;
@@ -149,8 +161,9 @@
             jobs: self.jobs,
             rate: self.rate,
             at_once: self.clients,
-            doubled: self.doubled,
+            doubled,
             only: self.only.clone(),
+            owners,
             seed,
         };
         let bar = ProgressBar::new(self.jobs);
@@ -190,7 +203,7 @@
         }
         let died = events.iter().filter(|e| matches!(e.what, What::Died { .. })).count() as u32;
         let kills = (troubles.killed, died);
-        Ok(Found { summary, broken: check(&events, &classes), kills, cpu, ledger })
+        Ok(Found { summary, broken: check(&events, &classes, grace), kills, cpu, ledger })
     }
 
     fn show(&self, found: &Found) {
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -5,8 +5,8 @@
 use std::fmt;
 use std::time::Duration;
 
-/// How long after being told of a drain a send is still tolerated, and the platform's tolerance for sockets.
-const DRAIN: Duration = Duration::from_millis(750 + 50);
+/// The platform's tolerance for sockets, beside the grace after which nothing new may go to a worker that drains.
+const SLACK: Duration = Duration::from_millis(50);
 
 /// A broken rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,7 +28,7 @@
     OneAttempt,
     /// A job's result was made for it.
     OwnResult,
-    /// Nothing new to a worker 750 ms after the scheduler was told that it drains.
+    /// Nothing new to a worker the settings' grace after the scheduler was told that it drains.
     Drain,
     /// Nothing to a worker that the live list has not named.
     Listed,
@@ -68,12 +68,12 @@
     excused: bool,
 }
 
-/// Reads the record of a load on these classes. A request that is open when a scheduler is killed is owed nothing; its
+/// Reads the record of a load on these classes, where workers that drain get nothing new after `grace`. A request that is open when a scheduler is killed is owed nothing; its
 /// job still is.
-pub fn check(events: &[Event], classes: &[Class]) -> Vec<Broken> {
+pub fn check(events: &[Event], classes: &[Class], grace: Duration) -> Vec<Broken> {
     let mut broken = Vec::new();
     let mut bad = |rule, what: String| broken.push(Broken { rule, what });
-    let scope: HashMap<&str, Scope> = classes.iter().map(|c| (c.name, c.scope)).collect();
+    let scope: HashMap<&str, Scope> = classes.iter().map(|c| (c.name.as_str(), c.scope)).collect();
     let mut asked: HashMap<&str, Asked> = HashMap::new();
     let mut settled: BTreeMap<u64, bool> = BTreeMap::new();
     let mut began: HashMap<(&str, &str), Vec<(&str, &str)>> = HashMap::new();
@@ -124,7 +124,8 @@
                 if let Some(other) = out.insert(request, worker) {
                     bad(Rule::OneAttempt, format!("{request} went to {worker} while {other} had it"));
                 }
-                if let Some(told) = draining.get(worker.as_str()).filter(|told| *at > **told + DRAIN) {
+                if let Some(told) = draining.get(worker.as_str()).filter(|told| *at > **told + grace + SLACK)
+                {
                     bad(Rule::Drain, format!("{request} went to {worker} {:?} after its drain", *at - *told));
                 }
             }
@@ -162,7 +163,7 @@
             Some(Scope::Never) if runs.len() > 1 => {
                 bad(Rule::OneRun, format!("{class} {key} began {runs:?}"))
             }
-            Some(Scope::Cell | Scope::Zone) if groups.len() > 1 => {
+            Some(Scope::Cell | Scope::Zone | Scope::All) if groups.len() > 1 => {
                 bad(Rule::OneRun, format!("{class} {key} began where no one drops its repeats: {runs:?}"));
             }
             _ => {}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -5,6 +5,7 @@
 use hdrhistogram::Histogram;
 use hyper::Request;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
     pub doubled: f64,
     /// Only jobs of these classes, if any are named.
     pub only: Vec<String>,
+    /// Whose jobs they are, each as often as the others.
+    pub owners: Vec<String>,
     pub seed: u64,
 }
 
@@ -34,11 +37,13 @@
 pub struct Job {
     pub number: u64,
     pub class: String,
-    pub owner: &'static str,
+    pub owner: String,
     /// `None` for classes whose jobs carry no key.
     pub key: Option<String>,
     /// How long its client waits in all.
     pub patience: Duration,
+    /// The memory that it needs, in workers' units.
+    pub memory: f64,
 }
 
 /// How a job ended for its client.
@@ -100,7 +105,7 @@
 /// A job of the plan: its class and key by its number and the seed.
 fn job(number: u64, classes: &[Class], plan: &Plan, rng: &mut SmallRng) -> Option<Job> {
     let wanted: Vec<&Class> =
-        classes.iter().filter(|c| plan.only.is_empty() || plan.only.iter().any(|o| o == c.name)).collect();
+        classes.iter().filter(|c| plan.only.is_empty() || plan.only.contains(&c.name)).collect();
     let total: f64 = wanted.iter().map(|c| c.share).sum();
     let mut at = rng.random_range(0.0..total.max(f64::MIN_POSITIVE));
     let class = wanted.iter().find(|c| {
@@ -111,10 +116,14 @@
     let keyed = class.scope != crate::fleet::Scope::Safe;
     Some(Job {
         number,
-        class: class.name.to_owned(),
-        owner: if rng.random_bool(0.5) { "kraftverket" } else { "norrtrim" },
+        class: class.name.clone(),
+        owner: plan.owners.choose(rng).cloned().unwrap_or_default(),
         key: keyed.then(|| format!("key-{number}")),
         patience: class.deadline,
+        memory: match class.memory {
+            (least, most) if least < most => rng.random_range(least..most),
+            (least, _) => least,
+        },
     })
 }
 
@@ -247,8 +256,11 @@
         let mut head = Request::post(format!("/{}/x?job={}", job.class, job.number))
             .header("host", "scheduler")
             .header("req-id", &request)
-            .header("req-owner", job.owner)
+            .header("req-owner", &job.owner)
             .header("req-deadline-ms", left.as_millis().to_string());
+        if job.memory > 0.0 {
+            head = head.header("req-extra", format!("memory={:.3}", job.memory));
+        }
         if let Some(key) = &job.key {
             head = head.header("idempotency-key", key);
         }
@@ -263,7 +275,7 @@
             None => Connection::open(self.to, until).await.ok()?,
         };
         let due = self.record.now() + left;
-        let (class, owner, key) = (job.class.clone(), job.owner.to_owned(), job.key.clone());
+        let (class, owner, key) = (job.class.clone(), job.owner.clone(), job.key.clone());
         let asked = What::Asked { request: request.clone(), job: job.number, class, owner, key, due };
         self.record.add(asked);
         // A client allows the answer the time that it needs on the way.
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// A worker as it is listed.
 #[derive(Clone, Debug)]
@@ -53,6 +53,8 @@
     state: Mutex<State>,
     changed: Notify,
     record: Record,
+    /// How late a change is told.
+    late: Duration,
 }
 
 /// The service; it ends with this.
@@ -69,11 +71,11 @@
 }
 
 impl Discovery {
-    /// Starts it with an empty list.
-    pub async fn start(record: Record) -> io::Result<Self> {
+    /// Starts it with an empty list, of which changes are told so late.
+    pub async fn start(record: Record, late: Duration) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
-        let shared = Arc::new(Shared { state: Mutex::default(), changed: Notify::new(), record });
+        let shared = Arc::new(Shared { state: Mutex::default(), changed: Notify::new(), record, late });
         let service = shared.clone();
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -92,14 +94,17 @@
         Ok(Discovery { addr, shared, task: task.abort_handle() })
     }
 
-    /// Lists a worker, or changes what is listed of it.
+    /// Lists a worker, or changes what is listed of it: at once, or as late as changes are told here.
     pub fn list(&self, listed: Listed) {
-        let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.seq += 1;
-        let seq = state.seq;
-        state.hosts.insert(listed.host.clone(), (seq, listed));
-        drop(state);
-        self.shared.changed.notify_waiters();
+        let (shared, late) = (self.shared.clone(), self.shared.late);
+        // A worker that nobody knows yet is no change: the list is what it is at the start.
+        if late.is_zero() || !self.shared.holds(&listed.host) {
+            return shared.list(listed);
+        }
+        tokio::spawn(async move {
+            sleep_until(Instant::now() + late).await;
+            shared.list(listed);
+        });
     }
 
     /// The whole list in discovery's form, and its version.
@@ -109,6 +114,19 @@
 }
 
 impl Shared {
+    fn holds(&self, host: &str) -> bool {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).hosts.contains_key(host)
+    }
+
+    fn list(&self, listed: Listed) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.seq += 1;
+        let seq = state.seq;
+        state.hosts.insert(listed.host.clone(), (seq, listed));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// What is newer than `after`, or all; whether there is anything.
     fn text(&self, after: Option<u64>) -> (bool, serde_json::Value) {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,7 +1,8 @@
 //! A whole platform: discovery, workers in zones and cells, and the configuration of a scheduler for it.
+use crate::deployment::Deployment;
 use crate::discovery::{Discovery, Listed};
 use crate::record::Record;
-use crate::worker::{Behaviour, Callback, Known, Memory, Worker, WorkerPlan};
+use crate::worker::{Behaviour, Callback, Known, Memory, Reports, Worker, WorkerPlan};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -17,80 +18,96 @@
     Cell,
     /// The workers of a zone.
     Zone,
+    /// All workers.
+    All,
     /// Nobody: it must never run twice.
     Never,
 }
 
+/// How load is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Via {
+    Answers,
+    Probe,
+    None,
+}
+
+/// How the list of workers is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It is asked for.
+    Watch,
+    /// It is pushed to an agent beside each scheduler.
+    Push,
+}
+
+/// A kind of workers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kind {
+    pub name: String,
+    /// Its share of the workers.
+    pub share: f64,
+    pub cores: usize,
+    /// Work that a core does in a second of time.
+    pub speed: f64,
+    /// Jobs that run at a time.
+    pub slots: usize,
+    /// Memory units; 0 where jobs need none.
+    pub memory: f64,
+}
+
 /// A class of jobs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
-    pub name: &'static str,
+    pub name: String,
     pub scope: Scope,
     /// How long repeats are dropped.
     pub window: Duration,
-    /// How long a job runs on average at speed 1.
+    /// How long a job runs on average at speed 1, and the coefficient of variation of that.
     pub run: Duration,
+    pub cv: f64,
+    /// Wanted within this and `stretch` times its own running time.
+    pub aim: Duration,
+    pub stretch: f64,
     /// How long clients wait.
     pub deadline: Duration,
     pub worth: f64,
+    /// The part of its worth that a late answer earns.
+    pub late: f64,
     /// Its share of the jobs.
     pub share: f64,
+    /// The least and the most memory that a job needs.
+    pub memory: (f64, f64),
 }
 
-/// The classes of the deployment with one that must never run twice in place of one that is dropped by cells; jobs run
-/// `scale` times as long as there.
+/// The classes of the deployment that is played when none is named; jobs run `scale` times as long as there.
 pub fn classes(scale: f64) -> Vec<Class> {
-    let class = |name, scope, window, run: f64, deadline, worth, share| Class {
-        name,
-        scope,
-        window: Duration::from_secs(window),
-        run: Duration::from_secs_f64(run * scale),
-        deadline: Duration::from_millis(deadline),
-        worth,
-        share,
-    };
-    vec![
-        class("status-check", Scope::Safe, 0, 0.6, 7500, 1.0, 0.31),
-        class("guest-visit", Scope::Cell, 25, 1.2, 15_000, 8.0, 0.27),
-        class("club-settlement", Scope::Zone, 40, 3.7, 25_000, 5.0, 0.22),
-        class("new-membership", Scope::Never, 0, 2.5, 25_000, 10.0, 0.20),
-    ]
+    Deployment::default_one(Some(scale)).classes
 }
 
 /// How a fleet is made.
 #[derive(Clone)]
 pub struct FleetPlan {
     pub workers: usize,
-    pub slots: usize,
-    pub queue: usize,
-    pub classes: Vec<Class>,
+    pub deployment: Deployment,
     /// The share of workers that go by leases.
     pub leases: f64,
-    pub cold: Duration,
-    pub progress: Duration,
     pub seed: u64,
     /// The list says no more of workers than that they run.
     pub bare: bool,
 }
 
 impl FleetPlan {
-    /// So many workers of two slots, all of which go by leases.
+    /// So many workers of the default deployment, all of which go by leases.
     pub fn new(workers: usize, scale: f64, seed: u64) -> Self {
-        FleetPlan {
-            workers,
-            slots: 2,
-            queue: 8,
-            classes: classes(scale),
-            leases: 1.0,
-            cold: Duration::from_secs(1),
-            progress: Duration::from_millis(500),
-            seed,
-            bare: false,
-        }
+        Self::of(Deployment::default_one(Some(scale)), workers, seed)
     }
-}
 
-const ZONES: [&str; 3] = ["solna", "kista", "haninge"];
+    /// So many workers of this deployment.
+    pub fn of(deployment: Deployment, workers: usize, seed: u64) -> Self {
+        FleetPlan { workers, deployment, leases: 1.0, seed, bare: false }
+    }
+}
 
 /// Discovery and workers; all end with this.
 pub struct Fleet {
@@ -108,7 +125,7 @@
 impl Fleet {
     /// Starts discovery and all workers.
     pub async fn start(plan: FleetPlan, record: Record) -> io::Result<Self> {
-        let discovery = Discovery::start(record.clone()).await?;
+        let discovery = Discovery::start(record.clone(), plan.deployment.list_late).await?;
         let callback = Arc::new(RwLock::new(SocketAddr::from(([127, 0, 0, 1], 9))));
         let mut memories: HashMap<String, Memory> = HashMap::new();
         let mut fleet = Fleet {
@@ -120,41 +137,51 @@
             plan: plan.clone(),
             plans: BTreeMap::new(),
         };
+        let d = &plan.deployment;
         for i in 0..plan.workers {
-            let (name, zone, cell) = (format!("w{i:02}"), ZONES[i % 3], (i / 2) as u32);
+            let zone = &d.zones[i % d.zones.len()];
+            // Pods lie within a zone: the workers of a zone are counted off.
+            let cell = (i / d.zones.len() / d.pod * d.zones.len() + i % d.zones.len()) as u32;
+            let (name, kind) = (format!("w{i:02}"), d.kind(i));
             let known = |class: &Class| {
                 let group = match class.scope {
                     Scope::Safe | Scope::Never => name.clone(),
-                    // Cells lie within a zone here: two workers each.
                     Scope::Cell => format!("cell {cell}"),
                     Scope::Zone => format!("zone {zone}"),
+                    Scope::All => "all".to_owned(),
                 };
-                let drops = matches!(class.scope, Scope::Cell | Scope::Zone);
+                let drops = matches!(class.scope, Scope::Cell | Scope::Zone | Scope::All);
                 let memory = drops.then(|| memories.entry(group.clone()).or_default().clone());
-                (
-                    class.name.to_owned(),
-                    Known { run: class.run, memory: memory.map(|m| (m, class.window)), group },
-                )
+                let memory = memory.map(|m| (m, class.window));
+                (class.name.clone(), Known { run: class.run, cv: class.cv, memory, group })
             };
-            let known = plan.classes.iter().map(known).collect::<Vec<_>>().into_iter().collect();
-            let slow = i % 5 >= 3;
+            let known = d.classes.iter().map(known).collect::<Vec<_>>().into_iter().collect();
             let worker = WorkerPlan {
                 name: name.clone(),
-                slots: plan.slots,
-                queue: plan.queue,
-                speed: if slow { 0.75 } else { 1.0 },
+                slots: kind.slots,
+                cores: kind.cores,
+                memory: kind.memory,
+                queue: d.queue,
+                speed: kind.speed,
                 leases: (i as f64 + 0.5) / (plan.workers as f64) < plan.leases,
-                cold: plan.cold,
-                cold_speed: 0.3,
-                progress: plan.progress,
+                cold: d.cold,
+                cold_speed: d.cold_from,
+                progress: d.progress,
+                reports: Reports {
+                    in_answers: d.via == Via::Answers,
+                    probes: d.probes,
+                    fields: d.fields.clone(),
+                    every: d.every,
+                    probe_work: d.probe_work,
+                },
                 classes: known,
                 seed: plan.seed.wrapping_add(i as u64),
             };
             let listed = Listed {
                 host: name.clone(),
                 dial: SocketAddr::from(([127, 0, 0, 1], 9)),
-                zone: zone.to_owned(),
-                kind: if slow { "slow-2c" } else { "std-2c" }.to_owned(),
+                zone: zone.clone(),
+                kind: kind.name.clone(),
                 cell,
                 health: "active",
                 born_ms: 0,
@@ -230,47 +257,63 @@
 
     /// The classes.
     pub fn classes(&self) -> &[Class] {
-        &self.plan.classes
+        &self.plan.deployment.classes
+    }
+
+    /// What it is like.
+    pub fn deployment(&self) -> &Deployment {
+        &self.plan.deployment
     }
 }
 
 /// The configuration of a scheduler for this fleet, as the platform would hand it out.
 pub fn config(fleet: &Fleet, seed: u64, sockets: usize) -> serde_json::Value {
     let ns = |d: Duration| d.as_nanos() as u64;
-    let grades: Vec<_> = fleet
-        .classes()
-        .iter()
-        .map(|c| {
-            let effect = match c.scope {
-                Scope::Safe => "idempotent",
-                Scope::Never => "at_most_once",
-                Scope::Cell | Scope::Zone => "deduplicated",
-            };
-            let mut grade = serde_json::json!({
-                "name": c.name, "aim": 1_000_000_000u64, "aimStretch": 2.0, "deadline": ns(c.deadline),
-                "value": c.worth, "lateShare": 0.4, "effect": effect,
-            });
-            if effect == "deduplicated" {
-                let scope = if c.scope == Scope::Cell { "cell" } else { "zone" };
-                grade["dedupScope"] = scope.into();
-                grade["keyTtl"] = ns(c.window).into();
-            }
-            grade
-        })
-        .collect();
+    let d = fleet.deployment();
+    let grade = |c: &Class| {
+        let (effect, scope) = match c.scope {
+            Scope::Safe => ("idempotent", None),
+            Scope::Never => ("at_most_once", None),
+            Scope::Cell => ("deduplicated", Some("cell")),
+            Scope::Zone => ("deduplicated", Some("zone")),
+            Scope::All => ("deduplicated", Some("all")),
+        };
+        let mut grade = serde_json::json!({
+            "name": c.name, "aim": ns(c.aim), "aimStretch": c.stretch, "deadline": ns(c.deadline),
+            "value": c.worth, "lateShare": c.late, "effect": effect,
+        });
+        if let Some(scope) = scope {
+            grade["dedupScope"] = scope.into();
+            grade["keyTtl"] = ns(c.window).into();
+        }
+        grade
+    };
+    let grades: Vec<_> = d.classes.iter().map(grade).collect();
+    let tenants: Vec<_> = d.tenants.iter().map(|name| serde_json::json!({ "name": name })).collect();
+    let has = |field: &str| d.fields.iter().any(|f| f == field);
+    let mut info = serde_json::json!({"tellsStart": true, "progress": ns(d.progress)});
+    for (field, key, meaning) in [("x0", "reportX0", "free slots"), ("x1", "reportX1", "free memory")] {
+        if has(field) {
+            info[key] = meaning.into();
+        }
+    }
     serde_json::json!({
         "name": "n0", "seed": format!("{seed:x}"), "discovery": fleet.discovery.addr.to_string(),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
         "known": fleet.discovery.known(),
         "settings": {
-            "az": 0, "azs": ZONES, "kinds": ["std-2c", "slow-2c"], "grades": grades, "discovery": "subscribe",
-            "tenants": [{"name": "kraftverket"}, {"name": "norrtrim"}], "me": 0, "nInstances": 1,
-            "report": {"via": "answers"},
-            "familyInfo": {"reportX0": "free slots", "tellsStart": true, "progress": ns(Duration::from_millis(500))},
-            "limits": {"cancel": true, "probes": true, "connIdle": 10_000_000_000u64, "connectTimeout": 250_000_000u64,
-                "maxAttempts": 6, "retryAfter": true, "maxRetryAfter": 2_000_000_000u64, "streamsPerConn": 1},
-            "rules": {"askEvery": 10_000_000_000u64, "drainGrace": 750_000_000u64, "cold": ns(Duration::from_secs(1)),
-                "coldFrom": 0.3, "tipMultiple": 3.0, "tipAfter": 3_000_000_000u64},
+            "az": 0, "azs": d.zones, "kinds": d.kinds.iter().map(|k| k.name.clone()).collect::<Vec<_>>(),
+            "grades": grades, "tenants": tenants, "me": 0, "nInstances": 1, "worthBy": "request",
+            "discovery": match d.mode { Mode::Watch => "subscribe", Mode::Push => "automatic" },
+            "report": {"via": match d.via { Via::Answers => "answers", Via::Probe => "probe", Via::None => "none" }},
+            "familyInfo": info,
+            "limits": {"cancel": d.cancel, "probes": d.probes, "connIdle": ns(d.idle), "connectTimeout": 250_000_000u64,
+                "maxAttempts": d.attempts, "retryAfter": !d.retry_after.is_zero(), "maxRetryAfter": ns(d.retry_after),
+                "streamsPerConn": 1, "secondCopies": d.second_copies, "peerMessages": true},
+            "prices": {"handshake": d.prices.handshake, "probe": d.prices.probe, "crossZone": d.prices.cross_zone,
+                "waste": d.prices.waste, "connection": d.prices.connection},
+            "rules": {"askEvery": 10_000_000_000u64, "drainGrace": ns(d.drain_grace), "cold": ns(d.cold),
+                "coldFrom": d.cold_from, "tipMultiple": d.tip_multiple, "tipAfter": ns(d.tip)},
             "round": 2_000_000u64,
         },
     })
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 #![allow(missing_docs, reason = "fields and variants that say what they are need no second saying")]
 pub mod check;
 mod client;
+mod deployment;
 mod discovery;
 mod fleet;
 mod http;
@@ -16,8 +17,9 @@
 mod worker;
 
 pub use client::{Job, Load, Outcome, Plan, Summary};
+pub use deployment::{Deployment, Fault, Faults, Prices};
 pub use discovery::{Discovery, Listed};
-pub use fleet::{Class, Fleet, FleetPlan, Scope, classes, config};
+pub use fleet::{Class, Fleet, FleetPlan, Kind, Mode, Scope, Via, classes, config};
 pub use inventory::Keeper;
 pub use process::Scheduler;
 pub use record::{Event, Record, What};
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -6,8 +6,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::io;
@@ -24,6 +25,9 @@
 const TELL: u32 = 10;
 const TELL_AGAIN: Duration = Duration::from_millis(150);
 
+/// How finely work is reckoned.
+const STEP: Duration = Duration::from_millis(5);
+
 /// Where the scheduler hears notices, for all workers; it may move.
 pub type Callback = Arc<RwLock<SocketAddr>>;
 
@@ -70,22 +74,42 @@
 /// What a worker knows of a class.
 #[derive(Clone)]
 pub struct Known {
-    /// How long a job runs on a worker of speed 1.
+    /// How long a job runs on a worker of speed 1, on average, and the coefficient of variation of that.
     pub run: Duration,
+    pub cv: f64,
     /// The repeats that are dropped, and for how long.
     pub memory: Option<(Memory, Duration)>,
     /// The name of whoever shares the memory; of the worker where nobody does.
     pub group: String,
 }
 
+/// What a worker tells of its load, and how.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    /// With what ends a job.
+    pub in_answers: bool,
+    /// To whom asks.
+    pub probes: bool,
+    pub fields: Vec<String>,
+    /// A report is made anew after so long.
+    pub every: Duration,
+    /// Work that a probe costs.
+    pub probe_work: Duration,
+}
+
 /// How a worker is made.
 #[derive(Clone)]
 pub struct WorkerPlan {
     pub name: String,
     pub slots: usize,
+    /// With more slots than cores, jobs share the cores.
+    pub cores: usize,
+    /// Memory units; 0 where jobs need none.
+    pub memory: f64,
     pub queue: usize,
-    /// Work done in a second of time.
+    /// Work that a core does in a second of time.
     pub speed: f64,
+    pub reports: Reports,
     /// It goes by leases.
     pub leases: bool,
     /// How long it is slow after a start, and by how much at first.
@@ -140,6 +164,7 @@
     id: String,
     class: String,
     key: Option<String>,
+    memory: f64,
     lease: Option<Lease>,
     stop: watch::Sender<Option<&'static str>>,
 }
@@ -171,6 +196,10 @@
 struct State {
     waiting: VecDeque<Task>,
     running: HashMap<String, Task>,
+    /// The last report, and when it was made.
+    report: Option<(Instant, Vec<(String, f64)>)>,
+    /// Work that probes have brought and that is still to be done.
+    chores: Duration,
     /// Where notices go, between two of them.
     line: Vec<(SocketAddr, Connection)>,
 }
@@ -331,9 +360,13 @@
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
         let path = head.uri.path().to_owned();
         match (&head.method, path.as_str()) {
-            (&Method::GET, "/load" | "/healthz") => {
-                let (free, busy) = self.load();
-                return response(StatusCode::OK, format!("TEXT x0={free}, util={busy}"));
+            (&Method::GET, "/load" | "/healthz") if !self.plan.reports.probes => {
+                return response(StatusCode::NOT_FOUND, "");
+            }
+            (&Method::GET, "/load") => return response(StatusCode::OK, format!("TEXT {}", self.probed())),
+            (&Method::GET, "/healthz") => {
+                self.probed();
+                return response(StatusCode::OK, "");
             }
             (&Method::DELETE, path) => {
                 if let Some(id) = path.strip_prefix("/jobs/") {
@@ -355,6 +388,8 @@
             until: Arc::new(Mutex::new(Instant::now() + Duration::from_millis(ms))),
         });
         let token = lease.as_ref().map(|l| l.token);
+        let extra = text("req-extra").unwrap_or_default();
+        let memory = extra.split(',').find_map(|f| f.strip_prefix("memory=")?.parse().ok()).unwrap_or(0.0);
         let (worker, record) = (self.plan.name.clone(), &self.record);
         record.add(What::Received { request: id.clone(), worker, token });
         let behaviour = self.behaviour.borrow().clone();
@@ -362,13 +397,16 @@
             id: id.clone(),
             class,
             key: text("idempotency-key"),
+            memory,
             lease,
             stop: watch::Sender::new(None),
         };
         let taken = {
             let mut state = self.lock();
-            let free = state.running.len() < self.plan.slots;
-            if behaviour.leaving || !free && state.waiting.len() >= self.plan.queue {
+            // The first in the queue waits until it fits, and the others behind it.
+            let free = state.waiting.is_empty() && self.fits(&state, memory);
+            let never = memory > self.plan.memory && memory > 0.0;
+            if never || behaviour.leaving || !free && state.waiting.len() >= self.plan.queue {
                 None
             } else {
                 match free {
@@ -405,11 +443,41 @@
         response
     }
 
-    /// Free slots, and the busy share of all.
-    fn load(&self) -> (usize, f64) {
-        let state = self.lock();
-        let held = state.running.len() + state.waiting.len();
-        (self.plan.slots.saturating_sub(held), state.running.len() as f64 / self.plan.slots as f64)
+    /// Whether a job of that need may start now.
+    fn fits(&self, state: &State, memory: f64) -> bool {
+        let taken: f64 = state.running.values().map(|t| t.memory).sum();
+        state.running.len() < self.plan.slots && (memory == 0.0 || taken + memory <= self.plan.memory)
+    }
+
+    /// What a probe is told, and its work.
+    fn probed(&self) -> String {
+        let mut state = self.lock();
+        state.chores += self.plan.reports.probe_work;
+        drop(state);
+        let pairs = self.report();
+        pairs.iter().map(|(name, x)| format!("{name}={x}")).collect::<Vec<_>>().join(", ")
+    }
+
+    /// Its load, as old as reports get here.
+    fn report(&self) -> Vec<(String, f64)> {
+        let mut state = self.lock();
+        let fresh = state.report.as_ref().is_some_and(|(at, _)| at.elapsed() < self.plan.reports.every);
+        if !fresh {
+            let (running, waiting) = (state.running.len(), state.waiting.len());
+            let memory: f64 = state.running.values().map(|t| t.memory).sum();
+            let values = self.plan.reports.fields.iter().map(|field| {
+                let value = match field.as_str() {
+                    "x0" => self.plan.slots.saturating_sub(running) as f64,
+                    "x1" => (self.plan.memory - memory).max(0.0),
+                    "queue" => waiting as f64,
+                    "util" => (running as f64 / self.plan.slots as f64).min(1.0),
+                    _ => 0.0,
+                };
+                (field.clone(), (value * 100.0).round() / 100.0)
+            });
+            state.report = Some((Instant::now(), values.collect()));
+        }
+        state.report.as_ref().map(|(_, values)| values.clone()).unwrap_or_default()
     }
 
     /// Stops a job wherever it is.
@@ -428,27 +496,40 @@
     fn speed(&self) -> f64 {
         let warm = self.born.elapsed().as_secs_f64() / self.plan.cold.as_secs_f64().max(1e-9);
         let warmth = self.plan.cold_speed + (1.0 - self.plan.cold_speed) * warm.min(1.0);
-        self.plan.speed * warmth / self.behaviour.borrow().slow
+        // Jobs share the cores with each other and with what probes cost.
+        let mut state = self.lock();
+        let shared = (self.plan.cores as f64 / state.running.len().max(1) as f64).min(1.0);
+        let chores = std::mem::take(&mut state.chores);
+        drop(state);
+        let part = 1.0 - (chores.as_secs_f64() / STEP.as_secs_f64() / self.plan.cores as f64).min(0.9);
+        self.plan.speed * warmth * shared * part / self.behaviour.borrow().slow
     }
 
     async fn run(self: Arc<Self>, task: Task, run: tokio::sync::mpsc::UnboundedSender<Task>) {
         let over = self.work(&task).await;
         // Another may have taken its place by killing this process.
-        let next = {
+        let mut next = Vec::new();
+        {
             let mut state = self.lock();
             state.running.remove(&task.id);
-            let next = state.waiting.pop_front();
-            if let Some(next) = &next {
-                state.running.insert(next.id.clone(), next.clone());
+            while state.waiting.front().is_some_and(|first| self.fits(&state, first.memory)) {
+                let Some(first) = state.waiting.pop_front() else { break };
+                state.running.insert(first.id.clone(), first.clone());
+                next.push(first);
             }
-            next
-        };
+        }
         if let Some(why) = over {
             self.over(&task.id, why);
         }
-        if let Some(next) = next {
-            let _ = run.send(next);
-        }
+        next.into_iter().for_each(|task| drop(run.send(task)));
+    }
+
+    /// A running time over its mean: by a lognormal law.
+    fn factor(&self, cv: f64) -> f64 {
+        let deviation = (1.0 + cv * cv).ln().sqrt();
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        let law = LogNormal::new(-deviation * deviation / 2.0, deviation);
+        law.map_or(1.0, |law| law.sample(&mut *rng))
     }
 
     /// Runs a job to its end; why it is over.
@@ -475,7 +556,7 @@
             _ => None,
         };
         if let Some(result) = remembered {
-            return Some(self.tell(task, &done(&result)).await.unwrap_or("dropped as a repeat"));
+            return Some(self.tell(task, &self.done(&result)).await.unwrap_or("dropped as a repeat"));
         }
         self.record.add(named(|request, worker, key, class, group| What::Began {
             request,
@@ -487,13 +568,11 @@
         if let Some(why) = self.tell(task, "\"state\":\"started\"").await {
             return Some(why);
         }
-        let factor = self.rng.lock().unwrap_or_else(PoisonError::into_inner).random_range(0.5..1.5);
-        let mut left = known.run.as_secs_f64() * factor;
+        let mut left = known.run.as_secs_f64() * self.factor(known.cv);
         let mut told = Instant::now();
-        let step = Duration::from_millis(5);
         while left > 0.0 {
             let begun = Instant::now();
-            sleep_until(begun + step).await;
+            sleep_until(begun + STEP).await;
             if timeout_at(self.stops(task), self.awake()).await.is_err() {
                 return Some("lease over");
             }
@@ -504,7 +583,7 @@
                 return Some("lease over");
             }
             // What stood still has done nothing.
-            left -= begun.elapsed().min(4 * step).as_secs_f64() * self.speed();
+            left -= begun.elapsed().min(4 * STEP).as_secs_f64() * self.speed();
             if told.elapsed() >= self.plan.progress && left > 0.0 {
                 told = Instant::now();
                 if let Some(why) = self.tell(task, "\"state\":\"running\",\"share\":0.5").await {
@@ -526,7 +605,17 @@
                 group,
             }));
         }
-        Some(self.tell(task, &done(&result)).await.unwrap_or("done"))
+        Some(self.tell(task, &self.done(&result)).await.unwrap_or("done"))
+    }
+
+    fn done(&self, result: &str) -> String {
+        let mut text = format!("\"state\":\"done\",\"result\":{}", serde_json::Value::from(result));
+        if self.plan.reports.in_answers {
+            let load: serde_json::Map<_, _> =
+                self.report().into_iter().map(|(name, x)| (name, x.into())).collect();
+            text += &format!(",\"load\":{}", serde_json::Value::Object(load));
+        }
+        text
     }
 
     /// When it stops with a task by itself, whatever else happens.
@@ -603,10 +692,6 @@
     }
 }
 
-fn done(result: &str) -> String {
-    format!("\"state\":\"done\",\"result\":{}", serde_json::Value::from(result))
-}
-
 /// Waits until `addr` answers, `until` at the latest.
 pub async fn answers(addr: SocketAddr, until: Instant) -> bool {
     while Instant::now() < until {
--- a/crates/standin/tests/check.rs
+++ b/crates/standin/tests/check.rs
@@ -39,7 +39,7 @@
     let listed = ["w00", "w01"].map(|w| (0, What::Lives { worker: w.into() }));
     let events: Vec<Event> =
         listed.into_iter().chain(happened).map(|(at, what)| Event { at: ms(at), what }).collect();
-    check(&events, &classes(1.0)).into_iter().map(|b| b.rule).collect()
+    check(&events, &classes(1.0), ms(750)).into_iter().map(|b| b.rule).collect()
 }
 
 #[test]
