Put membership into the program, and a rig of several processes with faults between them

Need: schedulers never learned which of their peers live. Section `membership` in the operators' file turns it on: heartbeats by the reducer's timers (Timer::Beat), datagrams by Input::Peer and Effect::Tell, GET /ops/members, `spanlead members --at`, figures in /ops/stats, a log line for each change. Without the section the door says 404 and no datagram is sent; run stays as it was.

The rig (crates/standin: wires.rs, rig.rs) starts N processes over one platform; each reaches each other at an address set aside for that pair and direction, where datagrams are cut, lost, doubled, late, overtaken, cut off or spoilt; processes are stopped, killed and restarted; workers and discovery know each scheduler by its own address, so that one alone can be cut off from discovery.

driver.rs is split by concern (operate, kin, effects, durable), behaviour unchanged.

--- a/crates/conf/src/fields.rs
+++ b/crates/conf/src/fields.rs
@@ -24,6 +24,11 @@
         self.problems.push(Problem { file: self.file.into(), line, keyword: keyword.into(), why });
     }
 
+    /// The section's file and line.
+    pub fn place(&self) -> String {
+        format!("{}:{}", self.file, self.section.line)
+    }
+
     /// Something is wrong with the section itself.
     pub fn section_problem(&mut self, why: String) {
         self.add(self.section.line, &self.section.name, why);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -29,6 +29,23 @@
     pub ledger: Option<Ledger>,
     /// Inventories; the first goes before the others.
     pub inventories: Vec<Inventory>,
+    /// Membership among the schedulers; without it no datagram is sent.
+    pub membership: Option<Membership>,
+}
+
+/// How this scheduler takes part in the membership.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Membership {
+    /// The span between two heartbeats.
+    pub every: Duration,
+    /// To how many members each goes.
+    pub fanout: u16,
+    /// The share of datagrams whose loss must not make a live member dead.
+    pub loss: f64,
+    /// Schedulers of another tier are not heard.
+    pub tier: String,
+    /// The section's file and line, for what only the configuration shows to be wrong.
+    pub place: String,
 }
 
 /// How the log is written, to standard error.
@@ -196,7 +213,12 @@
                 conf.inventories.extend(Inventory::read(&mut fields));
                 fields.done();
             }
-            _ => fields.unknown_section(&["log", "ledger", "inventory"]),
+            "membership" => {
+                fields.no_arguments();
+                conf.membership = Some(Membership::read(&mut fields));
+                fields.done();
+            }
+            _ => fields.unknown_section(&["log", "ledger", "inventory", "membership"]),
         }
     }
     errors.0.sort_by_key(|p| p.line);
@@ -215,6 +237,19 @@
     }
 }
 
+impl Membership {
+    fn read(fields: &mut Fields<'_>) -> Self {
+        let (ms, s) = (Duration::from_millis, Duration::from_secs);
+        Membership {
+            every: fields.one("every", |w| w.span(ms(20), s(60))).unwrap_or(ms(100)),
+            fanout: fields.one("fanout", |w| w.number(1, 64)).unwrap_or(4) as u16,
+            loss: fields.one("loss", |w| w.percent()).unwrap_or(0.3).min(0.9),
+            tier: fields.one("tier", |w| w.text()).unwrap_or_else(|| "default".to_owned()),
+            place: fields.place(),
+        }
+    }
+}
+
 impl Ledger {
     fn read(fields: &mut Fields<'_>) -> Option<Self> {
         let (ms, s) = (Duration::from_millis, Duration::from_secs);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod durable;
 mod gate;
 mod members;
+mod membership;
 mod requests;
 mod types;
 
@@ -13,6 +14,8 @@
 pub use durable::{Durability, LedgerFigures};
 pub use gate::{Gate, Passage};
 use members::{Facts, Member};
+use membership::Membership;
+pub use membership::{MemberView, MembersView};
 use oatdock::{Action, Dispatcher, Event, Nanos, Outcome, RequestId, Settings, SettingsError, WorkerState};
 use rustc_hash::FxHashMap;
 use settings::Names;
@@ -88,6 +91,8 @@
     Unbar(Arc<str>),
     /// The agent that lists are pushed to may be heard again.
     Watch,
+    /// A heartbeat is due.
+    Beat,
 }
 
 /// The scheduler's whole state.
@@ -116,6 +121,8 @@
     watching: bool,
     /// Lists come unasked, to an agent beside this process.
     pushed: bool,
+    /// The other schedulers, where that is on.
+    membership: Option<Membership>,
     timers: BTreeMap<(Nanos, u64), Timer>,
     timer_serial: u64,
     stopping: Option<Nanos>,
@@ -166,6 +173,7 @@
             version: 0,
             watching: false,
             pushed,
+            membership: None,
             timers: BTreeMap::new(),
             timer_serial: 0,
             stopping: None,
@@ -223,6 +231,7 @@
             config_reload_errors: self.reload_errors,
             ledger: self.durable.as_ref().map(Durable::figures),
             facts: self.fact_figures(now),
+            membership: self.membership.as_ref().map(|m| m.members.figures()),
         }
     }
 
@@ -314,11 +323,22 @@
                 let event = Event::Probed { worker: &worker, outcome, lag: now.saturating_sub(sent), report };
                 self.decide(now, event, out);
             }
-            Input::Peer { from, data } => self.decide(now, Event::Peer { from, data: &data }, out),
+            Input::Peer { from, data } => {
+                if !self.peer(from, &data, out) {
+                    self.decide(now, Event::Peer { from, data: &data }, out);
+                }
+            }
+            Input::Join { settings, every } => self.enter(now, *settings, every, out),
+            Input::Leave => self.say_stage(spanlead_membership::Stage::Left, out),
             Input::Tick => self.run_timers(now, out),
-            Input::Stop => self.stopping = self.stopping.or(Some(now)),
-            Input::Drain(true) => self.draining = self.draining.or(Some(now)),
-            Input::Drain(false) => self.draining = None,
+            Input::Stop => {
+                self.stopping = self.stopping.or(Some(now));
+                self.say(out);
+            }
+            Input::Drain(on) => {
+                self.draining = on.then(|| self.draining.unwrap_or(now));
+                self.say(out);
+            }
             Input::Share { open, successor } => (self.max_open, self.successor) = (open, successor),
             Input::TurnedAway { class } => self.count(class, &Answer::Failed),
             Input::HandOver => self.hand_over(now, out),
@@ -400,6 +420,7 @@
                 Timer::Slice => self.next_slice(now, out),
                 Timer::Unbar(worker) => self.unbar(now, worker, out),
                 Timer::Watch => self.watch(out),
+                Timer::Beat => self.beat(now, out),
             }
         }
         self.expire(now, out);
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -158,6 +158,13 @@
         from: u32,
         data: Vec<u8>,
     },
+    /// The other schedulers are members from now on; a heartbeat goes out so often.
+    Join {
+        settings: Box<spanlead_membership::Settings>,
+        every: Nanos,
+    },
+    /// This process ends, nothing is owed: the last word to the other schedulers.
+    Leave,
     /// A timer may be due.
     Tick,
     /// The order to stop: finish what is owed.
@@ -259,6 +266,9 @@
     /// What files say of workers, where there are any.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub facts: Option<FactFigures>,
+    /// The other schedulers, where that is on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub membership: Option<spanlead_membership::Figures>,
 }
 
 /// What operators are shown of the facts that come from files.
@@ -342,6 +352,8 @@
         peer: Option<u32>,
         data: Vec<u8>,
     },
+    /// Another scheduler is taken for something else.
+    MemberChanged(spanlead_membership::Change),
     /// Watch discovery at `addr` for what is newer than `version`, in place of any watch under way.
     Watch {
         addr: SocketAddr,
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -162,6 +162,8 @@
     pub datagrams_in: u64,
     /// See `datagrams_in`.
     pub bytes_in: u64,
+    /// Datagrams from addresses that are no peer's, or longer than any may be; counted by whoever holds the socket.
+    pub strangers: u64,
     /// Datagrams that were dropped, by reason.
     pub dropped: std::collections::BTreeMap<Drop, u64>,
 }
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -3,6 +3,7 @@
 use spanlead_core::Input;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
@@ -27,6 +28,8 @@
     receiving: AbortHandle,
     each: Vec<SocketAddr>,
     all: Option<SocketAddr>,
+    /// Datagrams from addresses that are no peer's, and longer ones than may be sent.
+    strangers: Arc<AtomicU64>,
 }
 
 impl PeerLink {
@@ -36,6 +39,8 @@
         socket.set_nonblocking(true)?;
         let socket = Arc::new(UdpSocket::from_std(socket)?);
         let (receiver, senders) = (socket.clone(), peers.each.clone());
+        let strangers = Arc::new(AtomicU64::new(0));
+        let counted = strangers.clone();
         let receiving = tokio::spawn(async move {
             let mut buffer = [0; MAX_DATAGRAM + 1];
             loop {
@@ -45,14 +50,22 @@
                     continue;
                 };
                 let number = senders.iter().position(|a| *a == sender);
-                if let Some(from) = number.filter(|_| length <= MAX_DATAGRAM) {
-                    let input = Input::Peer { from: from as u32, data: buffer[..length].to_vec() };
-                    let _ = to.send(Message::Input(input));
-                }
+                // Counted here: a stranger must not fill the driver's inbox.
+                let Some(from) = number.filter(|_| length <= MAX_DATAGRAM) else {
+                    counted.fetch_add(1, Ordering::Relaxed);
+                    continue;
+                };
+                let input = Input::Peer { from: from as u32, data: buffer[..length].to_vec() };
+                let _ = to.send(Message::Input(input));
             }
         });
         let receiving = receiving.abort_handle();
-        Ok(PeerLink { socket, receiving, each: peers.each.clone(), all: peers.all })
+        Ok(PeerLink { socket, receiving, each: peers.each.clone(), all: peers.all, strangers })
+    }
+
+    /// How many datagrams were dropped since they came from no peer or were too long.
+    pub fn strangers(&self) -> u64 {
+        self.strangers.load(Ordering::Relaxed)
     }
 
     /// Sends a message to one peer or to all; like any datagram it may get lost.
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -231,6 +231,8 @@
     Readiness,
     Stats,
     Drain(bool),
+    /// What is known of the other schedulers.
+    Members,
     /// How the inventories stand, and where they differ from the live list.
     Inventories,
     /// What is known of a host, and by whose word.
@@ -249,6 +251,8 @@
     Json(Vec<u8>),
     /// It can't be done.
     Refused(String),
+    /// There is no such thing here.
+    Missing(&'static str),
 }
 
 /// Reads an operator's call.
@@ -259,6 +263,7 @@
         "/ops/drain/start" => (Method::POST, OperatorCall::Drain(true)),
         "/ops/drain/stop" => (Method::POST, OperatorCall::Drain(false)),
         "/ops/inventory" => (Method::GET, OperatorCall::Inventories),
+        "/ops/members" => (Method::GET, OperatorCall::Members),
         _ => {
             let parts: Vec<&str> = path.split('/').skip(1).collect();
             match parts[..] {
@@ -284,6 +289,7 @@
             Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "the figures can't be written\n"),
         },
         OperatorReply::Json(text) => json(text),
+        OperatorReply::Missing(why) => plain(StatusCode::NOT_FOUND, format!("{why}\n")),
         OperatorReply::Refused(why) => plain(StatusCode::CONFLICT, format!("{why}\n")),
     }
 }
--- a/crates/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -1,5 +1,5 @@
 //! The one place where configuration is read, checked and given defaults.
-use oatdock::Dispatcher;
+use oatdock::{Dispatcher, Nanos};
 use serde::Deserialize;
 use serde_json::Value;
 use settings::{BadField, Deployment, Options};
@@ -13,8 +13,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use xxhash_rust::xxh3::xxh3_64;
 
+/// The start of 2026 in tenths of a second since 1970: incarnations are counted from there, so that they fit for 13 years.
+const EPOCH: u128 = 17_672_256_000;
 /// Fewer descriptors, or less memory, than this leave nothing to serve with.
 const MIN_SOCKETS: usize = 64;
 const MIN_MEMORY_MB: usize = 16;
@@ -231,6 +234,51 @@
         })
     }
 
+    /// How this scheduler takes part in the membership, and the span between heartbeats.
+    ///
+    /// # Errors
+    /// If the configuration has no peers for it; with the place of the section that wants them.
+    pub fn members(
+        &self,
+        wanted: &spanlead_conf::Membership,
+    ) -> Result<(spanlead_membership::Settings, Nanos), String> {
+        let settings = &self.deployment.settings;
+        let refused = |why: &str| Err(format!("{}: membership: {why}", wanted.place));
+        if !settings.limits.peers {
+            return refused("the settings bar messages between schedulers (`settings.limits.peerMessages`)");
+        }
+        let Some(peers) = &self.peers else {
+            return refused("the configuration has no `peer_listen`");
+        };
+        if peers.each.is_empty() {
+            return refused("the configuration has no `peers`");
+        }
+        if settings.me as usize >= peers.each.len() || peers.each.len() != settings.instances as usize {
+            return refused(
+                "`peers` doesn't name each scheduler, this one included, in the order of their numbers",
+            );
+        }
+        let Ok(count) = u16::try_from(peers.each.len()) else {
+            return refused("there are more than 65535 `peers`");
+        };
+        // Tenths of a second since 2026: later starts have higher ones as long as clocks go on, and where one goes back the
+        // others say so (`Members::learn`).
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() / 100);
+        let incarnation = now.saturating_sub(EPOCH).try_into().unwrap_or(u32::MAX);
+        let settings = spanlead_membership::Settings {
+            me: settings.me as u16,
+            count,
+            tier: xxh3_64(wanted.tier.as_bytes()).to_le_bytes()[..4].try_into().unwrap_or_default(),
+            name: self.name.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            incarnation,
+            fanout: wanted.fanout,
+            loss: wanted.loss,
+            seed: self.seed ^ u64::from(incarnation),
+        };
+        Ok((settings, wanted.every.as_nanos() as Nanos))
+    }
+
     /// What the connections to workers go by.
     ///
     /// Where a handshake has a price, jobs go out on kept connections, and these are kept for half of the time after which the
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -1,4 +1,9 @@
 //! Runs the reducer: one input at a time, then the effects that it asks for, whose results come back as inputs.
+mod durable;
+mod effects;
+mod kin;
+mod operate;
+
 use crate::config::{Config, Keys, Shares};
 use crate::ledger;
 use bytes::Bytes;
@@ -137,6 +142,7 @@
 /// Serves until told to stop, then until nothing is owed.
 pub async fn serve(config: Config, conf: conf::Conf) -> Result<(), Box<dyn std::error::Error>> {
     let tuning = config.tuning();
+    let members = conf.membership.as_ref().map(|m| config.members(m)).transpose()?;
     let deployment = config.deployment;
     let names = watch::Sender::new(Arc::new(deployment.names.clone()));
 
@@ -225,9 +231,13 @@
     };
     let known = Input::List { scope: ListScope::Cached, version: config.known_seq, hosts: config.known };
     driver.open_peers()?;
+    if let Some((settings, every)) = members {
+        driver.step(Input::Join { settings: Box::new(settings), every });
+    }
     driver.step(known);
     tracing::info!(name = config.name, address = %bound, "listening");
     driver.run(inbox, asked, signals).await;
+    driver.step(Input::Leave);
     if let Some(why) = driver.broken {
         return Err(why.into());
     }
@@ -312,69 +322,6 @@
         }
     }
 
-    /// Does what an operator asks.
-    fn operate(&mut self, Asked { call, reply }: Asked) {
-        let call = match (call, &self.desk) {
-            (OperatorCall::Inventories | OperatorCall::Accept(..), None) => {
-                let _ = reply.send(OperatorReply::Refused("no inventory is set".into()));
-                return;
-            }
-            // What takes its time is not done where jobs are decided.
-            (OperatorCall::Inventories, Some(desk)) => {
-                let (desk, live) = (desk.clone(), self.core.live_hosts());
-                let (sheet, now) = (self.core.sheet().cloned().unwrap_or_default(), self.clock.now());
-                tokio::task::spawn_blocking(move || {
-                    let report = reconcile(&live, &sheet, now / 1_000_000, MAX_FINDINGS);
-                    let text = serde_json::to_vec(&Overview { inventories: desk.status(), report });
-                    let _ = reply.send(
-                        text.map_or_else(|e| OperatorReply::Refused(e.to_string()), OperatorReply::Json),
-                    );
-                });
-                return;
-            }
-            (OperatorCall::Accept(name, digest), Some(desk)) => {
-                let desk = desk.clone();
-                tokio::task::spawn_blocking(move || {
-                    let done = desk
-                        .accept(&name, &digest)
-                        .map(|said| serde_json::json!({ "done": said }).to_string());
-                    let done = done.map(String::into_bytes);
-                    let _ = reply.send(done.map_or_else(OperatorReply::Refused, OperatorReply::Json));
-                });
-                return;
-            }
-            (call, _) => call,
-        };
-        let answer = match call {
-            OperatorCall::Inventories | OperatorCall::Accept(..) => OperatorReply::No("ending\n"),
-            OperatorCall::Host(host) => match self.core.known_host(self.clock.now(), &host) {
-                Some(view) => OperatorReply::Json(serde_json::to_vec(&view).unwrap_or_default()),
-                None => OperatorReply::Refused(format!("the live list has not named {host:?}")),
-            },
-            OperatorCall::Readiness if self.core.serves() => OperatorReply::Yes,
-            OperatorCall::Readiness => {
-                OperatorReply::No("no worker is known, the ledger can't be used, or the process is ending\n")
-            }
-            OperatorCall::Stats => {
-                let mut figures = self.core.figures(self.clock.now(), &self.names.borrow().classes);
-                let stats = self.ledger.as_ref().and_then(|l| l.store.as_ref()).map(Writer::stats);
-                if let (Some(ledger), Some(stats)) = (&mut figures.ledger, stats) {
-                    (ledger.commits, ledger.records) = (stats.commits, stats.records);
-                    ledger.commit_p50_us = stats.p50.as_micros() as u64;
-                    ledger.commit_p99_us = stats.p99.as_micros() as u64;
-                    ledger.commit_max_us = stats.max.as_micros() as u64;
-                }
-                OperatorReply::Figures(Box::new(figures))
-            }
-            OperatorCall::Drain(on) => {
-                tracing::info!(on, "an operator's drain");
-                self.step(Input::Drain(on));
-                OperatorReply::Yes
-            }
-        };
-        let _ = reply.send(answer);
-    }
-
     fn sweep(&mut self) {
         self.pool.sweep();
         self.ledger.iter_mut().filter_map(|l| l.store.as_mut()).for_each(Writer::flush);
@@ -413,101 +360,16 @@
         Ok(())
     }
 
-    /// Another process of this scheduler has come or gone.
-    fn kin(&mut self, kin: Kin) {
-        match kin {
-            Kin::Successor(link) => self.successor = Some(link),
-            Kin::Gone(link) => {
-                for side in [&mut self.predecessor, &mut self.successor] {
-                    side.take_if(|l| l.same_channel(&link));
-                }
-            }
-        }
-        let (predecessor, successor) = (self.predecessor.is_some(), self.successor.is_some());
-        tracing::info!(predecessor, successor, "other processes of this scheduler");
-        let share = self.shares[usize::from(predecessor || successor)];
-        self.front.set_budget(share.clients);
-        self.pool.set_budget(share.workers);
-        self.step(Input::Share { open: share.open, successor });
-    }
-
-    /// A notice of a job that is not open here is for another process of this scheduler, if there is one.
-    fn notice(
-        &mut self,
-        notice: Notice,
-        body: Bytes,
-        from: Option<Link>,
-        heard: Option<oneshot::Sender<Reply>>,
-    ) {
-        let mut passed = Vec::new();
-        if let Some((_, notices)) = self.adopted.get_mut(&*notice.id) {
-            notices.push((notice, heard));
-            return;
-        }
-        if !self.core.knows(&notice.id) {
-            // One for a request that was handed over meanwhile goes back, behind it.
-            let from = from.filter(|_| !self.released.contains_key(&*notice.id));
-            for link in [&self.predecessor, &self.successor].into_iter().flatten() {
-                if from.as_ref().is_none_or(|f| !f.same_channel(link)) {
-                    let (there, arrived) = oneshot::channel();
-                    let _ = link.send(Passed::Notice { body: body.clone(), there });
-                    passed.push(arrived);
-                }
-            }
-        }
-        if passed.is_empty() {
-            return self.heed(notice, heard);
-        }
-        tokio::spawn(async move {
-            let mut all = Vec::new();
-            for arrived in passed {
-                // One that has gone takes its jobs with it; the worker asks again and is then answered here.
-                let Ok(reply) = arrived.await else { return };
-                all.push(reply);
-            }
-            // Whoever holds the lease says so; of one that nobody holds all say the same.
-            let held = all.iter().find(|r| matches!(r, Reply::Heard { lease: Some(_) }));
-            let reply = held.or(all.first()).copied().unwrap_or(Reply::Heard { lease: None });
-            let _ = heard.map(|heard| heard.send(reply));
-        });
-    }
-
-    fn heed(&mut self, mut notice: Notice, heard: Option<oneshot::Sender<Reply>>) {
-        let news = notice.news();
-        let report = notice.load.map(|f| self.reports.report(f));
-        self.note += 1;
-        let note = self.note;
-        self.notes.extend(heard.map(|heard| (note, heard)));
-        self.step(Input::News { note, id: notice.id, from: notice.from, token: notice.token, news, report });
-    }
-
-    /// Hands an open request to the successor, with its client's socket.
-    fn hand_over(&mut self, ticket: RequestId, tale: Tale) {
-        let (Some(Open { line, reply, parcel }), Some(successor)) =
-            (self.open.remove(&ticket), &self.successor)
-        else {
-            return;
-        };
-        let id = tale.id.clone();
-        match line.release() {
-            Ok(socket) => {
-                let text = wire::again(&parcel).into();
-                let (there, arrived) = oneshot::channel();
-                let _ = successor.send(Passed::Request { tale, text, socket, there });
-                self.leaving.push(arrived);
-                self.released.insert(id, reply);
-            }
-            Err(error) => tracing::warn!(%error, "a request can't be handed over"),
-        }
-    }
-
     fn stop(&mut self) {
         tracing::info!(open = self.open.len(), "stopping");
         // The successor takes what comes from now on, by both addresses.
         if let Some(accepting) = self.accepting.take_if(|_| self.successor.is_some()) {
             accepting.abort();
         }
-        (self.peers, self.peers_wanted) = (None, None);
+        // The successor is this scheduler to its peers from now on. Without one they hear that it drains, and of its end.
+        if self.successor.is_some() {
+            (self.peers, self.peers_wanted) = (None, None);
+        }
         self.step(Input::Stop);
     }
 
@@ -578,192 +440,4 @@
             self.accepting = Some(tokio::spawn(self.front.clone().listen(listener)));
         }
     }
-
-    fn perform(&mut self, effect: Effect) {
-        let (pool, to) = (self.pool.clone(), self.to.clone());
-        match effect {
-            Effect::Answer { ticket, answer, job } => {
-                if let Some(open) = self.open.remove(&ticket) {
-                    // A client that has just left needs no answer.
-                    let sent = open.reply.send(answer).is_ok();
-                    if let Some(job) = job.filter(|_| sent) {
-                        let _ = to.send(Message::Input(Input::Answered { job }));
-                    }
-                }
-            }
-            Effect::Send { attempt, addr, until, lease, text } => {
-                let parcel = match (self.open.get(&attempt.0), text) {
-                    (Some(open), _) => open.parcel.clone(),
-                    (None, Some(text)) => match wire::restored(&text) {
-                        Some(parcel) => Arc::new(parcel),
-                        None => return self.never_sent(attempt),
-                    },
-                    (None, None) => return self.never_sent(attempt),
-                };
-                let until = self.clock.instant(until);
-                let handover = tokio::spawn(async move {
-                    let tell = to.clone();
-                    let whole = move || drop(tell.send(Message::Input(Input::Written)));
-                    let how = pool.hand_over(addr, &parcel, lease, until, whole).await;
-                    let _ = to.send(Message::Input(Input::Handover { attempt, how }));
-                });
-                self.handovers.insert(attempt, handover);
-            }
-            Effect::Abandon { attempt, addr, id, taken, until } => {
-                if self.ledger.as_mut().is_some_and(|l| l.gate.call_off(attempt)) {
-                    return self.never_sent(attempt);
-                }
-                let until = self.clock.instant(until);
-                let offering = |h: &JoinHandle<()>| !taken && !h.is_finished();
-                match self.handovers.remove(&attempt).filter(offering) {
-                    // Its connection closes with it, before the worker has said that it has the job.
-                    Some(handover) => {
-                        handover.abort();
-                        let _ = to.send(Message::Input(Input::Abandoned { attempt }));
-                    }
-                    // The worker has the job, or its word on that is in the inbox.
-                    None => drop(tokio::spawn(async move {
-                        pool.abandon(addr, &id, until).await;
-                        let _ = to.send(Message::Input(Input::Abandoned { attempt }));
-                    })),
-                }
-            }
-            Effect::Probe { worker, addr, until } => {
-                let (sent, until) = (self.clock.now(), self.clock.instant(until));
-                tokio::spawn(async move {
-                    let (outcome, report) = pool.probe(addr, until).await;
-                    let _ = to.send(Message::Input(Input::Probed { worker, sent, outcome, report }));
-                });
-            }
-            Effect::HandOver { ticket, tale } => self.hand_over(ticket, tale),
-            Effect::CloseIdle { addr } => pool.close_idle(addr),
-            Effect::Tell { peer, data } => {
-                if let Some(peers) = &self.peers {
-                    peers.tell(peer, &data);
-                }
-            }
-            Effect::Watch { addr, version } => {
-                let watch = tokio::spawn(self.discovery(addr, version).watch());
-                // One at a time: the one before, if it still runs, ends here with its connection and is not heard of.
-                self.watch.replace(watch).inspect(JoinHandle::abort);
-            }
-            Effect::FetchList { addr } => drop(tokio::spawn(self.discovery(addr, 0).fetch())),
-            Effect::Log(text) => tracing::info!("{text}"),
-            Effect::FactsRefused { name, number, why } => {
-                if let Some(desk) = &self.desk {
-                    desk.object(name, number, why);
-                }
-            }
-            Effect::Acknowledge { note, reply } => {
-                let _ = self.notes.remove(&note).map(|heard| heard.send(reply));
-            }
-            Effect::Record(record) => self.write_down(&record),
-            Effect::Durably { effect, until } => self.durably(*effect, until),
-            Effect::Trim { oldest } => {
-                if let Some(store) = self.ledger.as_ref().and_then(|l| l.store.as_ref()) {
-                    store.trim(oldest);
-                }
-            }
-        }
-    }
-
-    /// An attempt that was to go out has not.
-    fn never_sent(&self, attempt: AttemptId) {
-        let how = Handover::Ended(Outcome::Moot, None);
-        let _ = self.to.send(Message::Input(Input::Handover { attempt, how }));
-    }
-
-    // ------------------------------------------------------------ the ledger
-
-    fn opened(&mut self, (durability, store): (Durability, Writer)) {
-        let Some(ledger) = &mut self.ledger else { return };
-        (ledger.stage, ledger.store) = (Stage::Open, Some(store));
-        ledger.gate.open(durability.ledger.last());
-        let held_back = std::mem::take(&mut ledger.held_back);
-        let figures = durability.ledger.figures();
-        tracing::info!(open = figures.open, kept = figures.kept, "the ledger is open");
-        self.step(Input::Opened(Box::new(durability)));
-        for message in held_back {
-            self.receive(message);
-        }
-    }
-
-    fn write_down(&mut self, record: &Record) {
-        let Some(ledger) = &mut self.ledger else { return };
-        let Some(store) = ledger.store.as_mut().filter(|_| ledger.stage == Stage::Open) else { return };
-        match spanlead_ledger::encode(record) {
-            Ok(bytes) => {
-                ledger.gate.record(store.append(bytes.into()));
-                ledger.urgent |= !record.can_wait();
-            }
-            // Without it what follows would be out of its place.
-            Err(error) => {
-                tracing::error!(%error, kind = record.kind(), "a record has no form");
-                let _ = self.to.send(Message::Progress(Progress::Failed));
-            }
-        }
-    }
-
-    /// Does this now if all that was written down is durable; else when it is.
-    fn durably(&mut self, effect: Effect, until: Nanos) {
-        let passed = match &mut self.ledger {
-            Some(ledger) => {
-                let passed = ledger.gate.pass(effect, until);
-                ledger.urgent |= passed.is_none();
-                passed
-            }
-            None => Some(Passage::Do(effect)),
-        };
-        passed.into_iter().for_each(|passage| self.go_through(passage));
-    }
-
-    fn go_through(&mut self, passage: Passage) {
-        match passage {
-            Passage::Do(effect) => self.perform(effect),
-            Passage::Unsent(attempt) => self.never_sent(attempt),
-            // The worker asks again.
-            Passage::Unheard(note) => drop(self.notes.remove(&note)),
-        }
-    }
-
-    fn progress(&mut self, progress: Progress) {
-        let Some(ledger) = self.ledger.as_mut().filter(|l| l.stage == Stage::Open) else { return };
-        match progress {
-            Progress::Durable { upto, bytes } => {
-                let passed = ledger.gate.durable(upto);
-                passed.into_iter().for_each(|passage| self.go_through(passage));
-                self.step(Input::Stored { bytes });
-            }
-            Progress::Failed => {
-                ledger.stage = Stage::Failed;
-                tracing::error!("the ledger has failed: new durable jobs are refused from now on");
-                let passed = ledger.gate.fail();
-                self.step(Input::StoreFailed);
-                passed.into_iter().for_each(|passage| self.go_through(passage));
-            }
-        }
-    }
-
-    /// Gives up what has waited for the disk for too long: clients are answered in time whatever the disk does.
-    fn too_late(&mut self) {
-        let now = self.clock.now();
-        let late = self.ledger.as_mut().map(|l| l.gate.late(now));
-        late.into_iter().flatten().for_each(|passage| self.go_through(passage));
-    }
-
-    /// Leaves the ledger to the successor, when nothing of it is open here any more.
-    fn release_ledger(&mut self) {
-        let Some(ledger) = &mut self.ledger else { return };
-        if ledger.stage == Stage::Open && ledger.gate.is_empty() && self.core.durable_open() == 0 {
-            ledger.stage = Stage::Released;
-            // Ends it in order, and lets go of the folder.
-            ledger.store = None;
-            self.step(Input::Released);
-            tracing::info!("the ledger is left to the successor");
-        }
-    }
-
-    fn discovery(&self, addr: SocketAddr, version: u64) -> Discovery {
-        Discovery { addr, version, names: self.names.subscribe(), to: self.to.clone() }
-    }
 }
--- /dev/null
+++ b/crates/spanlead/src/driver/durable.rs
@@ -0,0 +1,92 @@
+//! The ledger's way to the disk: what must be durable before it is seen waits here.
+use super::*;
+
+impl Driver {
+    pub(super) fn opened(&mut self, (durability, store): (Durability, Writer)) {
+        let Some(ledger) = &mut self.ledger else { return };
+        (ledger.stage, ledger.store) = (Stage::Open, Some(store));
+        ledger.gate.open(durability.ledger.last());
+        let held_back = std::mem::take(&mut ledger.held_back);
+        let figures = durability.ledger.figures();
+        tracing::info!(open = figures.open, kept = figures.kept, "the ledger is open");
+        self.step(Input::Opened(Box::new(durability)));
+        for message in held_back {
+            self.receive(message);
+        }
+    }
+
+    pub(super) fn write_down(&mut self, record: &Record) {
+        let Some(ledger) = &mut self.ledger else { return };
+        let Some(store) = ledger.store.as_mut().filter(|_| ledger.stage == Stage::Open) else { return };
+        match spanlead_ledger::encode(record) {
+            Ok(bytes) => {
+                ledger.gate.record(store.append(bytes.into()));
+                ledger.urgent |= !record.can_wait();
+            }
+            // Without it what follows would be out of its place.
+            Err(error) => {
+                tracing::error!(%error, kind = record.kind(), "a record has no form");
+                let _ = self.to.send(Message::Progress(Progress::Failed));
+            }
+        }
+    }
+
+    /// Does this now if all that was written down is durable; else when it is.
+    pub(super) fn durably(&mut self, effect: Effect, until: Nanos) {
+        let passed = match &mut self.ledger {
+            Some(ledger) => {
+                let passed = ledger.gate.pass(effect, until);
+                ledger.urgent |= passed.is_none();
+                passed
+            }
+            None => Some(Passage::Do(effect)),
+        };
+        passed.into_iter().for_each(|passage| self.go_through(passage));
+    }
+
+    pub(super) fn go_through(&mut self, passage: Passage) {
+        match passage {
+            Passage::Do(effect) => self.perform(effect),
+            Passage::Unsent(attempt) => self.never_sent(attempt),
+            // The worker asks again.
+            Passage::Unheard(note) => drop(self.notes.remove(&note)),
+        }
+    }
+
+    pub(super) fn progress(&mut self, progress: Progress) {
+        let Some(ledger) = self.ledger.as_mut().filter(|l| l.stage == Stage::Open) else { return };
+        match progress {
+            Progress::Durable { upto, bytes } => {
+                let passed = ledger.gate.durable(upto);
+                passed.into_iter().for_each(|passage| self.go_through(passage));
+                self.step(Input::Stored { bytes });
+            }
+            Progress::Failed => {
+                ledger.stage = Stage::Failed;
+                tracing::error!("the ledger has failed: new durable jobs are refused from now on");
+                let passed = ledger.gate.fail();
+                self.step(Input::StoreFailed);
+                passed.into_iter().for_each(|passage| self.go_through(passage));
+            }
+        }
+    }
+
+    /// Gives up what has waited for the disk for too long: clients are answered in time whatever the disk does.
+    pub(super) fn too_late(&mut self) {
+        let now = self.clock.now();
+        let late = self.ledger.as_mut().map(|l| l.gate.late(now));
+        late.into_iter().flatten().for_each(|passage| self.go_through(passage));
+    }
+
+    /// Leaves the ledger to the successor, when nothing of it is open here any more.
+    pub(super) fn release_ledger(&mut self) {
+        let Some(ledger) = &mut self.ledger else { return };
+        if ledger.stage == Stage::Open && ledger.gate.is_empty() && self.core.durable_open() == 0 {
+            ledger.stage = Stage::Released;
+            // Ends it in order, and lets go of the folder.
+            ledger.store = None;
+            self.step(Input::Released);
+            tracing::info!("the ledger is left to the successor");
+        }
+    }
+}
--- a/crates/spanlead/src/inventory.rs
+++ b/crates/spanlead/src/inventory.rs
@@ -11,8 +11,7 @@
 use spanlead_inventory::convert::{self, To};
 use spanlead_inventory::desk::{defaults, examine};
 use spanlead_net::wire::List;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -177,7 +176,10 @@
             }
             InventoryCommand::History { set } => history(&set),
             InventoryCommand::Accept { name, digest, at } => {
-                println!("{}", call(at, "POST", &format!("/ops/inventory/{name}/accept/{digest}"))?);
+                println!(
+                    "{}",
+                    crate::door::call(at, "POST", &format!("/ops/inventory/{name}/accept/{digest}"))?
+                );
                 Ok(())
             }
         }
@@ -346,7 +348,7 @@
 fn show(host: Option<String>, which: &Which, live: &Live, json: bool) -> Result<(), Failure> {
     if let Some(at) = live.at {
         let host = host.ok_or("with --at, name a host")?;
-        let text = call(at, "GET", &format!("/ops/inventory/hosts/{host}"))?;
+        let text = crate::door::call(at, "GET", &format!("/ops/inventory/hosts/{host}"))?;
         if json {
             println!("{text}");
             return Ok(());
@@ -419,7 +421,7 @@
 
 fn report(which: &Which, live: &Live, json: bool, most: usize) -> Result<(), Failure> {
     if let Some(at) = live.at {
-        let text = call(at, "GET", "/ops/inventory")?;
+        let text = crate::door::call(at, "GET", "/ops/inventory")?;
         if json {
             println!("{text}");
             return Ok(());
@@ -566,22 +568,3 @@
     println!("{shown}");
     Ok(())
 }
-
-/// A call at a scheduler's door: the answer's body, if it says yes.
-fn call(at: SocketAddr, method: &str, path: &str) -> Result<String, Failure> {
-    let failed = |why: String| -> Failure { format!("{at}: {why}").into() };
-    let mut door = TcpStream::connect(at).map_err(|e| failed(e.to_string()))?;
-    door.set_read_timeout(Some(Duration::from_secs(10)))?;
-    let plain = path.bytes().all(|b| b.is_ascii_graphic());
-    if !plain {
-        return Err(failed(format!("{path:?} can't be asked for")));
-    }
-    write!(door, "{method} {path} HTTP/1.1\r\nHost: operator\r\nContent-Length: 0\r\n\r\n")?;
-    let mut text = String::new();
-    door.read_to_string(&mut text).map_err(|e| failed(e.to_string()))?;
-    let (head, body) = text.split_once("\r\n\r\n").ok_or_else(|| failed("no answer".into()))?;
-    match head.split(' ').nth(1) {
-        Some("200") => Ok(body.to_owned()),
-        _ => Err(failed(body.trim().to_owned())),
-    }
-}
--- a/crates/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -1,8 +1,10 @@
 //! The real scheduler: `oatdock`'s decisions on sockets.
 mod config;
+mod door;
 mod driver;
 mod inventory;
 mod ledger;
+mod members;
 mod trial;
 
 use clap::{Args, Parser, Subcommand};
@@ -35,6 +37,15 @@
     /// Check, show, compare and convert inventories, or look at those of a serving scheduler.
     #[command(subcommand)]
     Inventory(inventory::InventoryCommand),
+    /// Show the schedulers as one of them sees them.
+    Members {
+        /// A serving scheduler's operators' door.
+        #[arg(long, value_name = "ADDRESS")]
+        at: std::net::SocketAddr,
+        /// As JSON, as the door gives it.
+        #[arg(long)]
+        json: bool,
+    },
     /// Print the version.
     Version,
 }
@@ -88,6 +99,7 @@
         Command::Ledger(LedgerCommand::Export { folder, jobs }) => ledger::export(&folder, jobs),
         Command::Ledger(LedgerCommand::Compact { folder, keep }) => ledger::compact(&folder, keep),
         Command::Inventory(command) => command.run(),
+        Command::Members { at, json } => members::show(at, json),
         Command::Version => {
             println!("spanlead {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -152,6 +164,12 @@
     for inventory in &conf.inventories {
         println!("inventory  {} from {}", inventory.name, inventory.file.display());
     }
+    if let Some(membership) = &conf.membership {
+        let (members, _) = config.members(membership)?;
+        let bounds = spanlead_membership::Bounds::of(members.count, members.fanout, members.loss);
+        let dead = humantime::format_duration(membership.every * bounds.dead);
+        println!("members    {} schedulers, this is {}; one is dead after {dead}", members.count, members.me);
+    }
     if let Some(ledger) = conf.ledger {
         let show = humantime::format_duration;
         println!("ledger     {}, leases of {}", ledger.folder.display(), show(ledger.lease));
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -153,12 +153,13 @@
         let conf = self.conf(&folder);
         let mut scheduler =
             Scheduler::new(&binary, &folder, &config(&fleet, seed, 4096), &conf, record.clone())?;
-        fleet.call_back_to(scheduler.addr);
+        fleet.call_back_to(0, scheduler.addr);
         scheduler.start().await?;
 
         let load = Load::new(scheduler.addr, record.clone());
         let plan = Plan {
             jobs: self.jobs,
+            first: 0,
             rate: self.rate,
             at_once: self.clients,
             doubled,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,13 +14,17 @@
 mod inventory;
 mod process;
 mod record;
+mod rig;
+mod wires;
 mod worker;
 
 pub use client::{Job, Load, Outcome, Plan, Summary};
 pub use deployment::{Deployment, Fault, Faults, Prices};
 pub use discovery::{Discovery, Listed};
-pub use fleet::{Class, Fleet, FleetPlan, Kind, Mode, Scope, Via, classes, config};
+pub use fleet::{Class, Fleet, FleetPlan, Kind, Mode, Scope, Via, classes, config, config_of};
 pub use inventory::Keeper;
 pub use process::Scheduler;
 pub use record::{Event, Record, What};
+pub use rig::{Act, Follow, Logged, Mixture, Rig, RigPlan, Script, Seen, Step};
+pub use wires::{Passed, Way, Wires};
 pub use worker::{Behaviour, Memory, Worker, WorkerPlan};
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -1,6 +1,7 @@
 //! The scheduler as a process, killed and started again at one address.
 use crate::record::{Record, What};
 use crate::worker::answers;
+use rustix::process::{Pid, Signal, kill_process};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -11,6 +12,8 @@
 
 /// A scheduler. It is killed with this.
 pub struct Scheduler {
+    /// Its number among the schedulers.
+    pub number: u32,
     pub addr: SocketAddr,
     pub operator: SocketAddr,
     binary: PathBuf,
@@ -42,7 +45,7 @@
         std::fs::write(folder.join("spanlead.conf"), conf)?;
         let (addr, operator) = (free()?, free()?);
         let (binary, folder) = (binary.to_owned(), folder.to_owned());
-        Ok(Scheduler { addr, operator, binary, folder, child: None, record, loud: false })
+        Ok(Scheduler { number: 0, addr, operator, binary, folder, child: None, record, loud: false })
     }
 
     /// Starts it and waits until it accepts.
@@ -71,7 +74,7 @@
             let last: Vec<&str> = log.lines().rev().take(3).collect();
             return Err(io::Error::other(format!("the scheduler does not start: {last:?}")));
         }
-        self.record.add(What::Serving);
+        self.record.add(What::Serving { scheduler: self.number });
         Ok(())
     }
 
@@ -79,16 +82,59 @@
     pub async fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // Before: whatever breaks from here on is no fault of a running scheduler.
-            self.record.add(What::Killed);
+            self.record.add(What::Killed { scheduler: self.number });
             let _ = child.kill().await;
         }
     }
 
+    /// Tells it to end in order.
+    pub fn terminate(&self) {
+        self.record.add(What::Ending { scheduler: self.number });
+        self.signal(Signal::TERM);
+    }
+
+    /// Lets it stand still, or go on.
+    pub fn pause(&self, on: bool) {
+        let noted = What::Paused { scheduler: self.number, on };
+        // Noted when it can still do something, and when it can again.
+        if on {
+            self.record.add(noted);
+            self.signal(Signal::STOP);
+        } else {
+            self.signal(Signal::CONT);
+            self.record.add(noted);
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.id().and_then(|id| Pid::from_raw(id as i32));
+        let _ = id.map(|id| kill_process(id, signal));
+    }
+
+    /// What its processes have logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
     /// Its process id, while it runs.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().and_then(Child::id)
     }
 
+    /// Where it keeps its files.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Whether it has ended, or was never started.
+    pub fn ended(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if ended && self.child.take().is_some() {
+            self.record.add(What::Killed { scheduler: self.number });
+        }
+        ended
+    }
+
     /// Waits for its end.
     pub async fn wait(&mut self) -> Option<std::process::ExitStatus> {
         self.child.as_mut()?.wait().await.ok()
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -16,6 +16,8 @@
 pub enum What {
     /// A client has written a request whole. `job` is the same for all its tries.
     Asked {
+        /// Of which scheduler, by its number.
+        scheduler: u32,
         request: String,
         job: u64,
         class: String,
@@ -44,6 +46,7 @@
     },
     /// A worker has read an attempt whole.
     Received {
+        scheduler: u32,
         request: String,
         worker: String,
         token: Option<u64>,
@@ -77,15 +80,34 @@
     },
     /// Discovery has told the scheduler that a worker gets nothing new.
     Told {
+        scheduler: u32,
         worker: String,
     },
     /// It has told that a worker runs (again).
     Lives {
+        scheduler: u32,
         worker: String,
     },
     /// A scheduler process serves, or has been killed.
-    Serving,
-    Killed,
+    Serving {
+        scheduler: u32,
+    },
+    Killed {
+        scheduler: u32,
+    },
+    /// It was told to end, and is owed nothing once it has.
+    Ending {
+        scheduler: u32,
+    },
+    /// It stands still, or goes on.
+    Paused {
+        scheduler: u32,
+        on: bool,
+    },
+    /// What was done to the network between schedulers, or to one's way to discovery.
+    Network {
+        what: String,
+    },
     /// A worker process has died.
     Died {
         worker: String,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -28,8 +28,8 @@
 /// How finely work is reckoned.
 const STEP: Duration = Duration::from_millis(5);
 
-/// Where the scheduler hears notices, for all workers; it may move.
-pub type Callback = Arc<RwLock<SocketAddr>>;
+/// Where each scheduler hears notices, by their numbers, for all workers; they may move.
+pub type Callbacks = Arc<RwLock<Vec<SocketAddr>>>;
 
 /// What the workers of one cell or zone know of keys: a repeat is not run again for a while.
 #[derive(Clone, Default)]
@@ -165,6 +165,8 @@
     class: String,
     key: Option<String>,
     memory: f64,
+    /// Whose job it is.
+    from: usize,
     lease: Option<Lease>,
     stop: watch::Sender<Option<&'static str>>,
 }
@@ -184,7 +186,7 @@
 struct Inner {
     plan: WorkerPlan,
     record: Record,
-    callback: Callback,
+    callbacks: Callbacks,
     behaviour: watch::Receiver<Behaviour>,
     born: Instant,
     state: Mutex<State>,
@@ -221,7 +223,8 @@
 
 /// A worker process. Dropping it kills it: its connections break and nothing is told any more.
 pub struct Worker {
-    pub addr: SocketAddr,
+    /// Where each scheduler reaches it, by their numbers.
+    pub addrs: Vec<SocketAddr>,
     pub behaviour: watch::Sender<Behaviour>,
     inner: Arc<Inner>,
     tasks: Option<tokio::task::JoinHandle<()>>,
@@ -235,22 +238,27 @@
 
 impl Worker {
     /// Starts one at a free address.
-    pub async fn start(plan: WorkerPlan, callback: Callback, record: Record) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let addr = listener.local_addr()?;
+    pub async fn start(plan: WorkerPlan, callbacks: Callbacks, record: Record) -> io::Result<Self> {
+        let schedulers = callbacks.read().unwrap_or_else(PoisonError::into_inner).len();
+        let (mut addrs, mut listeners) = (Vec::new(), Vec::new());
+        for _ in 0..schedulers {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            addrs.push(listener.local_addr()?);
+            listeners.push(listener);
+        }
         let (behaviour, watched) = watch::channel(Behaviour::default());
         let inner = Arc::new(Inner {
             rng: Mutex::new(SmallRng::seed_from_u64(plan.seed)),
             plan,
             record,
-            callback,
+            callbacks,
             behaviour: watched,
             born: Instant::now(),
             state: Mutex::default(),
             taken: AtomicU64::new(0),
         });
-        let tasks = tokio::spawn(inner.clone().listen(listener));
-        Ok(Worker { addr, behaviour, inner, tasks: Some(tasks) })
+        let tasks = tokio::spawn(inner.clone().listen(listeners));
+        Ok(Worker { addrs, behaviour, inner, tasks: Some(tasks) })
     }
 
     /// Its name.
@@ -296,17 +304,26 @@
     }
 
     /// Everything that a worker process does; it ends when this is dropped.
-    async fn listen(self: Arc<Self>, listener: TcpListener) {
+    async fn listen(self: Arc<Self>, listeners: Vec<TcpListener>) {
         let (run, mut to_run) = tokio::sync::mpsc::unbounded_channel::<Task>();
         let mut tasks = JoinSet::new();
+        let (accept, mut accepted) = tokio::sync::mpsc::unbounded_channel();
+        for (from, listener) in listeners.into_iter().enumerate() {
+            let accept = accept.clone();
+            tasks.spawn(async move {
+                loop {
+                    let Ok((stream, _)) = listener.accept().await else { continue };
+                    let _ = accept.send((from, stream));
+                }
+            });
+        }
         loop {
             tokio::select! {
-                stream = listener.accept() => {
-                    let Ok((stream, _)) = stream else { continue };
+                Some((from, stream)) = accepted.recv() => {
                     // As a killed process's, its connections end with a reset.
                     let _ = stream.set_zero_linger();
                     let (inner, run) = (self.clone(), run.clone());
-                    tasks.spawn(async move { inner.connection(stream, run).await });
+                    tasks.spawn(async move { inner.connection(from, stream, run).await });
                 }
                 Some(task) = to_run.recv() => {
                     let (inner, run) = (self.clone(), run.clone());
@@ -319,6 +336,7 @@
 
     async fn connection(
         self: &Arc<Self>,
+        from: usize,
         stream: tokio::net::TcpStream,
         run: tokio::sync::mpsc::UnboundedSender<Task>,
     ) {
@@ -339,7 +357,7 @@
         let cut = Arc::new(tokio::sync::Notify::new());
         let service = service_fn(|request| {
             let (inner, run, cut) = (self.clone(), run.clone(), cut.clone());
-            async move { Ok::<_, Infallible>(inner.answer(request, run, &cut).await) }
+            async move { Ok::<_, Infallible>(inner.answer(from, request, run, &cut).await) }
         });
         let connection =
             hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -351,6 +369,7 @@
 
     async fn answer(
         &self,
+        from: usize,
         request: Request<Incoming>,
         run: tokio::sync::mpsc::UnboundedSender<Task>,
         cut: &tokio::sync::Notify,
@@ -391,13 +410,14 @@
         let extra = text("req-extra").unwrap_or_default();
         let memory = extra.split(',').find_map(|f| f.strip_prefix("memory=")?.parse().ok()).unwrap_or(0.0);
         let (worker, record) = (self.plan.name.clone(), &self.record);
-        record.add(What::Received { request: id.clone(), worker, token });
+        record.add(What::Received { scheduler: from as u32, request: id.clone(), worker, token });
         let behaviour = self.behaviour.borrow().clone();
         let task = Task {
             id: id.clone(),
             class,
             key: text("idempotency-key"),
             memory,
+            from,
             lease,
             stop: watch::Sender::new(None),
         };
@@ -641,7 +661,7 @@
                     return Some("lease over");
                 }
                 let sent = Instant::now();
-                match self.post(&text).await {
+                match self.post(task.from, &text).await {
                     Some((200 | 204, lease)) => {
                         if let (Some(lease), Some(ms)) = (&task.lease, lease) {
                             let until = sent + Duration::from_millis(ms);
@@ -666,8 +686,8 @@
     }
 
     /// One call; its status, and how long the lease goes on.
-    async fn post(&self, text: &str) -> Option<(u16, Option<u64>)> {
-        let addr = *self.callback.read().unwrap_or_else(PoisonError::into_inner);
+    async fn post(&self, to: usize, text: &str) -> Option<(u16, Option<u64>)> {
+        let addr = *self.callbacks.read().unwrap_or_else(PoisonError::into_inner).get(to)?;
         let until = Instant::now() + Duration::from_secs(2);
         let kept = {
             let mut state = self.lock();
