--- a/crates/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -5,6 +5,7 @@
 mod inventory;
 mod ledger;
 mod members;
+mod tier;
 mod trial;
 
 use clap::{Args, Parser, Subcommand};
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -1,4 +1,5 @@
 //! `spanlead try`: the scheduler among stand-ins on loopback, with as much trouble as is asked for.
+use crate::tier::Tier;
 use clap::Args;
 use comfy_table::{CellAlignment, Table, presets};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -19,16 +20,16 @@
 pub struct Trial {
     /// Jobs in all.
     #[arg(long, default_value_t = 600)]
-    jobs: u64,
+    pub(crate) jobs: u64,
     /// Jobs a second.
     #[arg(long, default_value_t = 120.0)]
-    rate: f64,
+    pub(crate) rate: f64,
     /// Stand-in workers, of the deployment's kinds.
     #[arg(long, default_value_t = 12)]
-    workers: usize,
+    pub(crate) workers: usize,
     /// Clients at a time.
     #[arg(long, default_value_t = 256)]
-    clients: usize,
+    pub(crate) clients: usize,
     /// The deployment that is played, a TOML file (`deploy/deployments/` has two); without, a membership service's.
     #[arg(long, value_name = "FILE")]
     deployment: Option<PathBuf>,
@@ -49,13 +50,13 @@
     lease: Duration,
     /// The share of workers that go by leases.
     #[arg(long, default_value_t = 1.0)]
-    leases: f64,
+    pub(crate) leases: f64,
     /// How often the scheduler is killed outright and started again.
     #[arg(long, default_value_t = 0)]
-    kill_scheduler: u32,
+    pub(crate) kill_scheduler: u32,
     /// How often a worker is killed and started again.
     #[arg(long, default_value_t = 0)]
-    kill_worker: u32,
+    pub(crate) kill_worker: u32,
     /// How often a worker freezes, vanishes, slows down, drains, cuts connections, answers late, repeats notices or goes on
     /// after its lease.
     #[arg(long, default_value_t = 0)]
@@ -66,26 +67,28 @@
     inventory: u32,
     /// The share of keyed jobs that two clients bring at once; without, what the deployment says.
     #[arg(long)]
-    doubled: Option<f64>,
+    pub(crate) doubled: Option<f64>,
     /// Only jobs of this class; may be given again.
     #[arg(long)]
-    only: Vec<String>,
+    pub(crate) only: Vec<String>,
     /// The scheduler's files are kept here, and all that happened is written to `record.jsonl`.
     #[arg(long)]
-    folder: Option<PathBuf>,
+    pub(crate) folder: Option<PathBuf>,
+    #[command(flatten)]
+    tier: Tier,
 }
 
-type Failure = Box<dyn std::error::Error>;
+pub(crate) type Failure = Box<dyn std::error::Error>;
 
 /// What came of a trial.
-struct Found {
-    summary: Summary,
-    broken: Vec<Broken>,
-    kills: (u32, u32),
+pub(crate) struct Found {
+    pub summary: Summary,
+    pub broken: Vec<Broken>,
+    pub kills: (u32, u32),
     /// Time on a CPU that the scheduler processes took.
-    cpu: Duration,
+    pub cpu: Duration,
     /// What the last of them says of its ledger.
-    ledger: serde_json::Value,
+    pub ledger: serde_json::Value,
 }
 
 impl Trial {
@@ -104,7 +107,7 @@
         }
     }
 
-    fn conf(&self, folder: &Path) -> String {
+    pub(crate) fn conf(&self, folder: &Path) -> String {
         let inventory = match self.inventory {
             0 => String::new(),
             _ => format!(
@@ -125,15 +128,21 @@
     }
 
     async fn play(&self, seed: u64) -> Result<Found, Failure> {
-        let scratch = tempfile::tempdir()?;
-        let folder = self.folder.clone().unwrap_or_else(|| scratch.path().to_owned());
-        std::fs::create_dir_all(&folder)?;
-        let record = Record::new();
         let deployment = match &self.deployment {
             Some(file) => Deployment::read(file, self.scale)
                 .map_err(|faults| format!("the deployment can't be played:\n{faults}"))?,
             None => Deployment::default_one(self.scale),
         };
+        if self.tier.schedulers > 1 {
+            if self.trouble + self.inventory > 0 {
+                return Err("--trouble and --inventory are for one scheduler".into());
+            }
+            return self.tier.try_it(self, deployment, seed).await;
+        }
+        let scratch = tempfile::tempdir()?;
+        let folder = self.folder.clone().unwrap_or_else(|| scratch.path().to_owned());
+        std::fs::create_dir_all(&folder)?;
+        let record = Record::new();
         let (doubled, owners) = (self.doubled.unwrap_or(deployment.doubled), deployment.tenants.clone());
         let grace = deployment.drain_grace;
         let mut plan = FleetPlan::of(deployment, self.workers, seed);
@@ -274,7 +283,7 @@
 }
 
 /// What the process has taken of a CPU so far.
-fn cpu_of(scheduler: &Scheduler) -> Duration {
+pub(crate) fn cpu_of(scheduler: &Scheduler) -> Duration {
     let Some(id) = scheduler.id() else { return Duration::ZERO };
     let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
     // Fields 14 and 15 of proc(5)'s stat, counted behind the name, which ends with the last bracket.
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -32,6 +32,8 @@
     Drain,
     /// Nothing to a worker that the live list has not named.
     Listed,
+    /// Schedulers that can reach each other see each other in the end.
+    Together,
 }
 
 impl fmt::Display for Rule {
@@ -44,12 +46,13 @@
             Rule::OwnResult => "each job its own result",
             Rule::Drain => "nothing to draining workers",
             Rule::Listed => "nothing to workers that are not listed",
+            Rule::Together => "schedulers see each other in the end",
         })
     }
 }
 
 /// All rules, for a table.
-pub const RULES: [Rule; 7] = [
+pub const RULES: [Rule; 8] = [
     Rule::OneAnswer,
     Rule::Settled,
     Rule::OneRun,
@@ -57,6 +60,7 @@
     Rule::OwnResult,
     Rule::Drain,
     Rule::Listed,
+    Rule::Together,
 ];
 
 struct Asked {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -66,6 +66,24 @@
     pub took: Duration,
 }
 
+impl Summary {
+    /// Adds what came of another load.
+    pub fn add(&mut self, other: Summary) {
+        for (class, counts) in other.classes {
+            let sum = self.classes.entry(class).or_insert_with(Counts::new);
+            sum.jobs += counts.jobs;
+            sum.served += counts.served;
+            sum.refused += counts.refused;
+            sum.failed += counts.failed;
+            sum.unanswered += counts.unanswered;
+            sum.again += counts.again;
+            // Both have the same bounds.
+            let _ = sum.latency.add(counts.latency);
+        }
+        self.took = self.took.max(other.took);
+    }
+}
+
 /// What came of a class's jobs.
 #[derive(Clone, Debug)]
 pub struct Counts {
