--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -3,9 +3,10 @@
 use crate::worker::answers;
 use rustix::process::{Pid, Signal, kill_process};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::process::{Child, Command};
 use tokio::time::Instant;
@@ -24,9 +25,18 @@
     pub loud: bool,
 }
 
-/// An address that is free now.
-fn free() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// An address on loopback that no other scheduler of this machine is given, and that no connection goes out from: a port that is
+/// drawn and given back until its process starts, or while it is down, must be nobody else's.
+pub(crate) fn own_address() -> IpAddr {
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let (id, serial) = (std::process::id(), GIVEN.fetch_add(1, Ordering::Relaxed));
+    let byte = |x: u32| (x % 250) as u8;
+    // Some thousand schedulers in a process, and processes whose ids are 62500 apart, share one.
+    Ipv4Addr::new(127, 1 + byte(id), byte(id / 250).wrapping_add(byte(serial / 250)), 1 + byte(serial)).into()
+}
+
+fn free(on: IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind((on, 0))?.local_addr()
 }
 
 impl Scheduler {
@@ -43,7 +53,12 @@
     ) -> io::Result<Self> {
         std::fs::write(folder.join("config.json"), config.to_string())?;
         std::fs::write(folder.join("spanlead.conf"), conf)?;
-        let (addr, operator) = (free()?, free()?);
+        let on = own_address();
+        let addr = free(on)?;
+        let mut operator = free(on)?;
+        while operator == addr {
+            operator = free(on)?;
+        }
         let (binary, folder) = (binary.to_owned(), folder.to_owned());
         Ok(Scheduler { number: 0, addr, operator, binary, folder, child: None, record, loud: false })
     }
@@ -74,6 +89,9 @@
             let last: Vec<&str> = log.lines().rev().take(3).collect();
             return Err(io::Error::other(format!("the scheduler does not start: {last:?}")));
         }
+        if let Some(Ok(Some(status))) = self.child.as_mut().map(Child::try_wait) {
+            return Err(io::Error::other(format!("the scheduler has ended at once: {status}")));
+        }
         self.record.add(What::Serving { scheduler: self.number });
         Ok(())
     }
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::time::{Instant, sleep_until};
 
 /// How a rig is made.
@@ -53,6 +53,8 @@
 /// A change of a member's state that a scheduler has logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Logged {
+    /// When, by the wall clock that all processes share.
+    pub at: SystemTime,
     pub number: usize,
     pub from: String,
     pub to: String,
@@ -259,10 +261,11 @@
             rest.split_whitespace().next().map(str::to_owned)
         };
         let change = |line: &str| {
+            let at = humantime::parse_rfc3339(line.split_whitespace().next()?).ok()?;
             let line = line.split_once(" member ")?.1.to_owned();
             let line = format!(" {line}");
             let number = field(&line, "number")?.parse().ok()?;
-            Some(Logged { number, from: field(&line, "from")?, to: field(&line, "to")? })
+            Some(Logged { at, number, from: field(&line, "from")?, to: field(&line, "to")? })
         };
         log.lines().filter_map(change).collect()
     }
--- a/crates/standin/src/wires.rs
+++ b/crates/standin/src/wires.rs
@@ -1,5 +1,6 @@
 //! The network between schedulers. Each reaches each other at an address set aside for that pair and direction, so that every
 //! datagram passes here and can be lost, late, doubled, overtaken, cut off or spoilt, by direction.
+use crate::process::own_address;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::io;
@@ -75,12 +76,8 @@
     /// If no addresses are free.
     pub async fn start(count: usize, seed: u64) -> io::Result<Self> {
         let mut listens = Vec::new();
-        // Held until all are drawn, so that none comes twice; free again when the schedulers start.
-        let mut held = Vec::new();
         for _ in 0..count {
-            let socket = UdpSocket::bind("127.0.0.1:0").await?;
-            listens.push(socket.local_addr()?);
-            held.push(socket);
+            listens.push(UdpSocket::bind((own_address(), 0)).await?.local_addr()?);
         }
         let mut sockets: Vec<Vec<Arc<UdpSocket>>> = Vec::new();
         for _ in 0..count {
@@ -90,7 +87,6 @@
             }
             sockets.push(row);
         }
-        drop(held);
         let mut addrs = Vec::new();
         for row in &sockets {
             addrs.push(row.iter().map(|s| s.local_addr()).collect::<io::Result<Vec<_>>>()?);
