--- a/crates/conf/tests/conf.rs
+++ b/crates/conf/tests/conf.rs
@@ -111,3 +111,17 @@
                 first\n  watch never\n  size 1\ninventory a\n  file y\ninventory b\n";
     assert_snapshot!(errors(text));
 }
+
+#[test]
+fn membership_s_faults_are_told_with_their_lines() {
+    let text = "membership here\n  every 1ms\n  fanout 0\n  loss much\n  evry 1s\n";
+    assert_snapshot!(errors(text), @r"
+    spanlead.conf:1: membership: this section takes no name
+    spanlead.conf:2: every: 1ms is not between 20ms and 1m
+    spanlead.conf:3: fanout: 0 is not between 1 and 64
+    spanlead.conf:4: loss: `much` is not a share between 0% and 100%
+    spanlead.conf:5: evry: is unknown in section `membership`; `every` is near
+    ");
+    let good = parse("f", b"membership\n").expect("a bare line").membership.expect("a section");
+    assert_eq!((good.every, good.fanout, good.tier.as_str()), (Duration::from_millis(100), 4, "default"));
+}
--- a/crates/spanlead/tests/command.rs
+++ b/crates/spanlead/tests/command.rs
@@ -2,7 +2,7 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{config, nobody, run};
+use harness::{config, nobody, run, run_with_conf};
 use insta::assert_snapshot;
 
 #[test]
@@ -70,3 +70,41 @@
     spanlead: configuration key `known.seq`: invalid type: string "x", expected u64 at line 3 column 18
     "#);
 }
+
+// Guards a membership that could never work: the section is refused at the start, by its place, where the configuration has no peers,
+// not this scheduler among them, or bars messages. Where it can, `check` says when a scheduler counts as dead.
+#[test]
+fn membership_wants_peers() {
+    let peers = |list: &str| {
+        let with = format!(r#""seed":"8c1f30d27a5be964","peer_listen":"127.0.0.1:0","peers":[{list}]"#);
+        let text = config(nobody(), "").replace(r#""seed":"8c1f30d27a5be964""#, &with);
+        text.replace(r#""cancel":true"#, r#""cancel":true,"peerMessages":true"#)
+    };
+    let two = peers(r#""127.0.0.1:7","127.0.0.1:8""#).replace(r#""nInstances":1"#, r#""nInstances":2"#);
+    let cases = [
+        config(nobody(), ""),
+        config(nobody(), "").replace(r#""cancel":true"#, r#""cancel":true,"peerMessages":true"#),
+        peers(""),
+        two.replace(r#""me":0"#, r#""me":1"#).replace(r#","127.0.0.1:8""#, ""),
+        peers(r#""127.0.0.1:7","127.0.0.1:8""#),
+    ];
+    let said = |output: std::process::Output| {
+        let text = String::from_utf8(output.stderr).expect("text");
+        // The file's folder differs from machine to machine.
+        text.split_once(".conf").map_or(text.clone(), |(_, rest)| format!("FILE{rest}"))
+    };
+    let lines = cases.map(|text| {
+        let output = run_with_conf("serve", &text, "log\nmembership\n");
+        assert!(!output.status.success());
+        said(output)
+    });
+    assert_snapshot!(lines.concat(), @r"
+    FILE:2: membership: the settings bar messages between schedulers (`settings.limits.peerMessages`)
+    FILE:2: membership: the configuration has no `peer_listen`
+    FILE:2: membership: the configuration has no `peers`
+    FILE:2: membership: `peers` doesn't name each scheduler, this one included, in the order of their numbers
+    FILE:2: membership: `peers` doesn't name each scheduler, this one included, in the order of their numbers
+    ");
+    let good = String::from_utf8(run_with_conf("check", &two, "membership\n").stdout).expect("text");
+    assert_snapshot!(good.lines().last().unwrap_or(""), @"members    2 schedulers, this is 0; one is dead after 3s 500ms");
+}
--- a/crates/spanlead/tests/harness/mod.rs
+++ b/crates/spanlead/tests/harness/mod.rs
@@ -432,6 +432,13 @@
     command(subcommand, config).output().expect("it starts")
 }
 
+/// The same with these operators' settings.
+pub fn run_with_conf(subcommand: &str, config: &str, conf: &str) -> Output {
+    let path = config_path().replace(".json", ".conf");
+    std::fs::write(&path, conf).expect("a writable folder");
+    command(subcommand, config).args(["--conf", &path]).output().expect("it starts")
+}
+
 /// One file for each test of each run: the threads of a test run are named after the tests.
 fn config_path() -> String {
     let name = thread::current().name().unwrap_or("test").replace("::", "-");
