--- a/crates/duties/src/elector.rs
+++ b/crates/duties/src/elector.rs
@@ -11,12 +11,15 @@
     highest: Term,
     /// To whom, and until when by this clock.
     granted: Option<(u16, Term, Millis)>,
+    /// Who was refused since another held it: the question, its term, and when it came. Where the holder gives it back just then, by a
+    /// word that was overtaken, that one is granted it after all.
+    refused: Option<(u16, u32, Term, Millis)>,
 }
 
 impl Elector {
     /// One that starts now and keeps silent for as long as a grant that it has forgotten may last.
     pub fn new(now: Millis, grant: Millis) -> Self {
-        Elector { silent_until: now + grant, highest: 0, granted: None }
+        Elector { silent_until: now + grant, highest: 0, granted: None, refused: None }
     }
 
     /// Whether it may grant anything yet.
@@ -47,7 +50,10 @@
         let refuse = |left| Some(Word::Refuse { ask, highest: self.highest, left });
         match self.granted(now) {
             // While one holds it nobody else is granted it, whatever its term.
-            Some((to, _, left)) if to != from => return refuse(left),
+            Some((to, _, left)) if to != from => {
+                self.refused = Some((from, ask, term, now));
+                return refuse(left);
+            }
             // A question that was overtaken by a later one of the same.
             Some((_, old, _)) if term < old => return refuse(0),
             Some((_, old, _)) if term == old => {}
@@ -60,10 +66,27 @@
         Some(Word::Grant { ask, term })
     }
 
-    /// Its holder gives it back.
-    pub fn release(&mut self, from: u16, term: Term) {
-        if self.granted.is_some_and(|(to, old, _)| to == from && old <= term) {
-            self.granted = None;
+    /// One that was refused does not want it any more.
+    pub fn withdraw(&mut self, from: u16) {
+        self.refused.take_if(|(to, ..)| *to == from);
+    }
+
+    /// Its holder gives it back; who gets it at once, if one has asked within `patience`.
+    pub fn release(
+        &mut self,
+        now: Millis,
+        from: u16,
+        term: Term,
+        patience: Millis,
+        grant: Millis,
+    ) -> Option<(u16, Word)> {
+        if !self.granted.is_some_and(|(to, old, _)| to == from && old <= term) {
+            return None;
         }
+        self.granted = None;
+        let (to, ask, wanted, at) = self.refused.take()?;
+        let waits = now < at + patience && wanted > self.highest && to != from;
+        let word = waits.then(|| self.ask(now, to, ask, wanted, grant)).flatten()?;
+        Some((to, word))
     }
 }
--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -96,6 +96,8 @@
     question: Option<Question>,
     /// Not asked for before.
     not_before: Millis,
+    /// Nobody has held it since, as far as is known here.
+    vacant: Option<Millis>,
     /// Who has just given it back, and until when it is another's turn.
     passed: Option<(u16, Millis)>,
 }
@@ -145,6 +147,7 @@
             held: None,
             question: None,
             not_before: 0,
+            vacant: Some(now),
             passed: None,
         };
         Duties {
@@ -180,9 +183,14 @@
         let passed = now.saturating_sub(std::mem::replace(&mut self.last_tick, now));
         for at in 0..self.duties.len() {
             self.expire(now, at, out);
-            if self.duties[at].elector.granted(now).is_none() {
+            let duty = &mut self.duties[at];
+            if duty.elector.granted(now).is_none() {
                 self.figures[at].vacant_ms += passed;
+                duty.vacant.get_or_insert(now);
+            } else {
+                duty.vacant = None;
             }
+            self.withdraw(now, at, &mut words);
             if self.wants(now, at, &lives) {
                 self.ask(now, wall, at, &mut words, out);
             }
@@ -251,32 +259,58 @@
         match duty.held {
             // A third of the lease is left for questions that get lost.
             Some(held) => now + set.lease * 2 / 3 >= held.until,
-            None => duty.elector.granted(now).is_none() && self.first_choice(now, at, lives) == self.set.me,
+            // The first choice may be one that can't ask: just started, or gone and not yet known to be. So the others follow.
+            None => {
+                let vacant = self.duties[at].vacant.unwrap_or(now);
+                let turn = vacant + self.rank(now, at, lives) * self.set.patience;
+                self.duties[at].elector.granted(now).is_none() && now >= turn
+            }
         }
     }
 
-    /// Who should hold it of those who live: by rendezvous hashing, so that duties are spread and few move when one goes.
-    fn first_choice(&self, now: Millis, at: usize, lives: &impl Fn(u16) -> bool) -> u16 {
+    /// How many of those who live should hold it rather than this one: by rendezvous hashing, so that duties are spread and few move
+    /// when one goes.
+    fn rank(&self, now: Millis, at: usize, lives: &impl Fn(u16) -> bool) -> u64 {
         let weight = |n: &u16| (xxh3_64_with_seed(&n.to_le_bytes(), self.duties[at].hash.into()), *n);
         let me = self.set.me;
         let passed = self.duties[at].passed.filter(|(_, until)| now < *until).map(|(who, _)| who);
         let may = |n: &u16| (*n == me || lives(*n)) && passed != Some(*n);
-        (0..self.set.count).filter(may).max_by_key(weight).unwrap_or(me)
+        (0..self.set.count).filter(may).filter(|n| weight(n) > weight(&me)).count() as u64
+    }
+
+    /// A span to wait, other than that of those who asked at the same time.
+    fn pause(&self) -> Millis {
+        let drawn = xxh3_64_with_seed(&self.questions.to_le_bytes(), self.set.seed);
+        self.set.patience + drawn % (2 * self.set.patience + 1)
+    }
+
+    /// A question that was not answered well in time: what was granted of it is given back. Two that each have some of the others would
+    /// keep it from each other, and from everyone, for a lease.
+    fn withdraw(&mut self, now: Millis, at: usize, words: &mut Words) {
+        let (pause, set) = (self.pause(), self.set.clone());
+        let duty = &mut self.duties[at];
+        let over = |q: &mut Question| now >= q.at + set.patience;
+        let Some(question) = duty.question.take_if(|q| duty.held.is_none() && over(q)) else { return };
+        duty.not_before = duty.not_before.max(now + pause);
+        let (term, grant) = (question.term, set.lease + set.bound);
+        let freed = duty.elector.release(now, set.me, term, set.patience, grant);
+        let item = Item { duty: duty.hash, count: set.count, word: Word::Withdraw { term } };
+        for to in (0..set.count).filter(|n| *n != set.me) {
+            words.entry(to).or_default().push(item);
+        }
+        if let Some((to, word)) = freed {
+            words.entry(to).or_default().push(Item { word, ..item });
+        }
     }
 
     fn ask(&mut self, now: Millis, wall: Millis, at: usize, words: &mut Words, out: &mut Vec<Out>) {
         self.questions += 1;
         let (number, set) = (self.questions, self.set.clone());
-        // Those who ask at once get in each other's way; after a question that failed each waits for a while of its own.
-        let drawn = xxh3_64_with_seed(&number.to_le_bytes(), set.seed);
-        let pause = set.patience + drawn % (2 * set.patience + 1);
         let duty = &mut self.duties[at];
-        if duty.held.is_none() && duty.question.is_some() {
-            duty.question = None;
-            duty.not_before = now + pause;
-            return;
-        }
-        let term = duty.held.map_or_else(|| (duty.elector.highest() + 1).max(wall), |h| h.term);
+        // One that holds it goes on under its term, unless an elector has heard of a higher one in vain: it would never grant this one
+        // again.
+        let next = duty.elector.highest() + 1;
+        let term = duty.held.map_or(next.max(wall), |h| if next > h.term + 1 { next } else { h.term });
         duty.question = Some(Question { number, term, at: now, granted: Vec::new() });
         let item = Item { duty: duty.hash, count: set.count, word: Word::Ask { ask: number, term } };
         for to in (0..set.count).filter(|n| *n != set.me) {
@@ -322,10 +356,11 @@
             Word::Refuse { ask, highest, left } => {
                 duty.elector.learn(highest);
                 if duty.question.as_ref().is_some_and(|q| q.number == ask) && duty.held.is_none() {
+                    // Another has it; should it be given back before, that is heard of.
                     duty.not_before = duty.not_before.max(now + left.min(lease));
                 }
             }
-            Word::Ask { .. } | Word::Release { .. } => {}
+            Word::Ask { .. } | Word::Withdraw { .. } | Word::Release { .. } => {}
         }
     }
 
@@ -338,7 +373,7 @@
         words: &mut Words,
         out: &mut Vec<Out>,
     ) {
-        let grant = self.set.lease + self.set.bound;
+        let (grant, pause) = (self.set.lease + self.set.bound, self.pause());
         let duty = &mut self.duties[at];
         match word {
             Word::Ask { ask, term } => {
@@ -347,9 +382,20 @@
                     words.entry(from).or_default().push(item);
                 }
             }
-            Word::Release { term } => {
-                duty.elector.release(from, term);
-                duty.passed = Some((from, now + self.set.lease));
+            Word::Withdraw { term } | Word::Release { term } => {
+                let (patience, grant) = (self.set.patience, self.set.lease + self.set.bound);
+                if let Some((to, word)) = duty.elector.release(now, from, term, patience, grant) {
+                    let item = Item { duty: duty.hash, count: self.set.count, word };
+                    words.entry(to).or_default().push(item);
+                }
+                if matches!(word, Word::Withdraw { .. }) {
+                    duty.elector.withdraw(from);
+                    duty.not_before = duty.not_before.min(now + pause);
+                } else {
+                    duty.not_before = duty.not_before.min(now);
+                    duty.passed = Some((from, now + self.set.lease));
+                    duty.vacant = Some(now);
+                }
             }
             Word::Grant { .. } | Word::Refuse { .. } => self.answered(now, at, from, word, out),
         }
@@ -372,10 +418,15 @@
         // Who gives it back does not take it again before the others had their turn.
         duty.not_before = now + self.set.lease;
         duty.passed = Some((self.set.me, now + self.set.lease));
-        duty.elector.release(self.set.me, held.term);
+        let (patience, grant) = (self.set.patience, self.set.lease + self.set.bound);
+        let granted = duty.elector.release(now, self.set.me, held.term, patience, grant);
         let item = Item { duty: duty.hash, count: self.set.count, word: Word::Release { term: held.term } };
         let others = (0..self.set.count).filter(|n| *n != self.set.me);
-        send(others.map(|to| (to, vec![item])).collect(), out);
+        let mut words: Words = others.map(|to| (to, vec![item])).collect();
+        if let Some((to, word)) = granted {
+            words.entry(to).or_default().push(Item { word, ..item });
+        }
+        send(words, out);
     }
 }
 
--- a/crates/duties/src/message.rs
+++ b/crates/duties/src/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// More words than these are in no datagram: with the longest figures they take less than the 200 bytes that one carries.
-pub const MAX_ITEMS: usize = 7;
+pub const MAX_ITEMS: usize = 6;
 
 /// Terms from here on are not believed: one that is, could not be followed by any.
 pub const LAST_TERM: Term = 1 << 60;
@@ -45,6 +45,11 @@
         /// How long the other's grant lasts here.
         left: Millis,
     },
+    /// I did not get it: what you granted me of this term is another's to have.
+    Withdraw {
+        /// The term that was asked for.
+        term: Term,
+    },
     /// I hold it no more, whatever I was granted.
     Release {
         /// The term that is over.
@@ -61,7 +66,8 @@
 pub fn decode(bytes: &[u8]) -> Option<Vec<Item>> {
     let (items, rest) = postcard::take_from_bytes::<Vec<Item>>(bytes).ok()?;
     let term = |item: &Item| match item.word {
-        Word::Ask { term, .. } | Word::Grant { term, .. } | Word::Release { term } => term,
+        Word::Ask { term, .. } | Word::Grant { term, .. } => term,
+        Word::Withdraw { term } | Word::Release { term } => term,
         Word::Refuse { highest, .. } => highest,
     };
     let sound = items.len() <= MAX_ITEMS && items.iter().all(|item| term(item) < LAST_TERM);
