--- a/crates/conf/tests/conf.rs
+++ b/crates/conf/tests/conf.rs
@@ -125,3 +125,26 @@
     let good = parse("f", b"membership\n").expect("a bare line").membership.expect("a section");
     assert_eq!((good.every, good.fanout, good.tier.as_str()), (Duration::from_millis(100), 4, "default"));
 }
+
+#[test]
+fn duties_faults_are_told_with_their_lines() {
+    let text = "duty a b\nduty x\n  call ftp://127.0.0.1:1/\n  every 1ms\nduty y\nduty x\n  call http://host/\nleases\n  lease 1s\n  clock-bound 2s\n  patience 500ms\n";
+    assert_snapshot!(errors(text), @r"
+    spanlead.conf:1: duty: this section takes one name
+    spanlead.conf:1: duty: `call` is missing
+    spanlead.conf:3: call: `ftp://127.0.0.1:1/` is not http://ADDRESS:PORT/PATH
+    spanlead.conf:4: every: 1ms is not between 20ms and 1day
+    spanlead.conf:5: duty: `call` is missing
+    spanlead.conf:6: duty: the section stands on line 2 already
+    spanlead.conf:10: clock-bound: must be shorter than the lease
+    spanlead.conf:11: patience: must fit into a lease three times, so that one lost question loses nothing
+    ");
+    let alone = errors("log\nduty x\n  call http://127.0.0.1:9/\n");
+    assert_snapshot!(alone, @"spanlead.conf:2: duty: needs the section `membership`: duties are granted by its datagrams");
+    let good = "membership\nduty x\n  call http://127.0.0.1:9/a/b\n  every 50ms\n";
+    let duty = parse("f", good.as_bytes()).expect("good").duties.remove(0);
+    assert_eq!(
+        (duty.name.as_str(), duty.call.1.as_str(), duty.every),
+        ("x", "/a/b", Duration::from_millis(50))
+    );
+}
