--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -219,6 +219,9 @@
     serve_rate: Rate,
     looks: Rate,
     weight_sum: f64,
+    /// How long served jobs ran in the mean, nanoseconds, and the slots of a worker, by those that were heard.
+    mean_run: f64,
+    slots: f64,
     /// The ready workers' weights, each by its ramp, and when that was last added up.
     capacity: f64,
     capacity_at: Nanos,
@@ -262,6 +265,8 @@
             serve_rate: Rate::default(),
             looks: Rate::default(),
             weight_sum: 0.0,
+            mean_run: 0.0,
+            slots: 0.0,
             capacity: 0.0,
             capacity_at: 0,
             set: settings,
--- a/crates/oatdock/src/choice/attempts.rs
+++ b/crates/oatdock/src/choice/attempts.rs
@@ -54,6 +54,7 @@
                 (worker.repeats, worker.changed_at) = (0, now);
             }
             worker.report = report;
+            worker.most_slots = worker.most_slots.max(report.free_slots.unwrap_or(0.0));
             if let Some(free) = report.free_memory {
                 worker.most_memory = Some(worker.most_memory.map_or(free, |most| most.max(free)));
             }
@@ -143,6 +144,8 @@
                 self.workers[w as usize].fulls = 0;
                 self.workers[w as usize].strikes = 0;
                 self.serve_rate.add(now, slots);
+                let run = job_heard.filter(|_| self.set.tells_start).map_or(lag, |t| now - t) as f64;
+                self.mean_run += (run - self.mean_run) * if self.mean_run == 0.0 { 1.0 } else { 0.02 };
                 let mean = if fetches { &mut self.lag_fetched } else { &mut self.lag_kept };
                 if keyed {
                     let first = *mean == 0.0;
--- a/crates/oatdock/src/choice/lists.rs
+++ b/crates/oatdock/src/choice/lists.rs
@@ -34,39 +34,7 @@
             let id: Arc<str> = Arc::from(entry.worker);
             let i = self.workers.len() as u32;
             self.index.insert(id.clone(), i);
-            self.workers.push(Worker {
-                hash: std::array::from_fn(|c| xxh3_64_with_seed(id.as_bytes(), c as u64)),
-                id: WorkerId(id),
-                state: WorkerState::Gone,
-                started: None,
-                kind: entry.kind,
-                zone: entry.zone,
-                cell: entry.cell,
-                weight: 1.0,
-                own: 0.0,
-                idle_conns: 0,
-                used_at: 0,
-                report: Report::default(),
-                report_at: None,
-                most_memory: None,
-                changed_at: 0,
-                repeats: 0,
-                smooth: 0.0,
-                smooth_at: 0,
-                waiting: 0,
-                waiting_top: 0,
-                probe_out: None,
-                probe_ok_at: None,
-                full_until: 0,
-                fulls: 0,
-                slow: 0.0,
-                samples: 0.0,
-                strikes: 0,
-                ejected_until: 0,
-                struck_at: 0,
-                window_end: 0,
-                window_left: 0.0,
-            });
+            self.workers.push(Worker::new(id, entry));
             i
         });
         let worker = &mut self.workers[i as usize];
@@ -80,7 +48,7 @@
             worker.ejected_until = 0;
             worker.strikes = 0;
             worker.idle_conns = 0;
-            (worker.report_at, worker.most_memory) = (None, None);
+            (worker.report_at, worker.most_memory, worker.most_slots) = (None, None, 0.0);
             (worker.window_end, worker.window_left) = (0, 0.0);
         }
         self.set_state(i, entry.state, entry.kind, moved);
--- a/crates/oatdock/src/worker.rs
+++ b/crates/oatdock/src/worker.rs
@@ -1,6 +1,8 @@
 //! What is known of a worker: from the list, from its reports, from this dispatcher's own jobs. Nothing is decided here.
-use crate::api::{Limits, Nanos, Report, Rules, WorkerId, WorkerState};
+use crate::api::{Entry, Limits, Nanos, Report, Rules, WorkerId, WorkerState};
 use crate::graph::CYCLES;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A worker that the list has named.
 pub(crate) struct Worker {
@@ -20,6 +22,8 @@
     /// The last report with its time.
     pub report: Report,
     pub report_at: Option<Nanos>,
+    /// The most slots that it has been seen with free since it started: all that it has, once it was idle.
+    pub most_slots: f64,
     /// The most memory that it has been seen with free since it started; `None` if it was not heard of.
     pub most_memory: Option<f64>,
     /// When the report last changed, and how often it has come again since.
@@ -50,6 +54,44 @@
 }
 
 impl Worker {
+    /// One that was just named; its state and start are still to be taken from the list.
+    pub fn new(id: Arc<str>, entry: &Entry<'_>) -> Self {
+        Worker {
+            hash: std::array::from_fn(|c| xxh3_64_with_seed(id.as_bytes(), c as u64)),
+            id: WorkerId(id),
+            state: WorkerState::Gone,
+            started: None,
+            kind: entry.kind,
+            zone: entry.zone,
+            cell: entry.cell,
+            weight: 1.0,
+            own: 0.0,
+            idle_conns: 0,
+            used_at: 0,
+            report: Report::default(),
+            report_at: None,
+            most_memory: None,
+            most_slots: 0.0,
+            changed_at: 0,
+            repeats: 0,
+            smooth: 0.0,
+            smooth_at: 0,
+            waiting: 0,
+            waiting_top: 0,
+            probe_out: None,
+            probe_ok_at: None,
+            full_until: 0,
+            fulls: 0,
+            slow: 0.0,
+            samples: 0.0,
+            strikes: 0,
+            ejected_until: 0,
+            struck_at: 0,
+            window_end: 0,
+            window_left: 0.0,
+        }
+    }
+
     /// A connection is open and free.
     pub fn connected(&self, limits: &Limits, now: Nanos) -> bool {
         self.idle_conns > 0 && now <= self.used_at + limits.conn_idle
--- a/crates/oatdock/tests/fleet.rs
+++ b/crates/oatdock/tests/fleet.rs
@@ -155,3 +155,40 @@
     let most = windows.values().max().copied().unwrap_or(0);
     assert!(most <= 14, "{most} jobs to one returned worker in a window");
 }
+
+/// Nearly the whole fleet is replaced at once, and the few workers that are left are full: what all dispatchers together send to a fresh
+/// one is bounded by what it does, however much comes; and it is used, however little each sees. By parts of own traffic it was
+/// neither: with one worker left each took it for its whole fleet, and what waited at the others was given to nobody.
+#[test]
+fn the_parts_of_a_fresh_worker_add_up_to_what_it_does() {
+    let set = Settings { instances: DISPATCHERS as u32, ..large() };
+    let cold_sends = |jobs: u64| {
+        let mut sent = 0;
+        for seed in 0..DISPATCHERS {
+            let mut world = World::new(set.clone(), seed);
+            known(&mut world, 3);
+            // Jobs run for a second each, four at a time in a worker.
+            for id in 0..6 {
+                world.ask(request(id, 4 * SEC));
+                world.pass(SEC, true);
+                world.end(id, 0, Outcome::Ok);
+                let report = Some(Report { free_slots: Some(4.0), ..Report::default() });
+                for worker in ["w0", "w1", "w2"] {
+                    world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report });
+                }
+            }
+            let started = Some(world.now);
+            world.list(ListScope::Full, &[Entry { started, ..Entry::new("w9", WorkerState::Ready) }]);
+            // A window of the cold budget.
+            for id in 100..100 + jobs {
+                world.ask(request(id, 4 * SEC));
+                world.pass(2 * SEC / jobs, true);
+                sent += world.sends(id).len();
+            }
+        }
+        sent
+    };
+    // A warm one does 8 in a window, this one 0.3 of them at first; three times that is the rule, and it grows as it warms up.
+    let many = cold_sends(8);
+    assert!((1..=10).contains(&many), "{many} of 800 jobs in a window");
+}
