--- a/crates/spanlead/src/tier.rs
+++ b/crates/spanlead/src/tier.rs
@@ -1,6 +1,6 @@
 //! `spanlead try --schedulers N`: several schedulers among stand-ins, with faults between them by a script or a seed.
 use crate::trial::{Failure, Found, Trial};
-use spanlead_standin::check::{Broken, Rule, check};
+use spanlead_standin::check::{Broken, Rule, check, check_cold};
 use spanlead_standin::{
     Deployment, FleetPlan, Load, Mixture, Plan, Rig, RigPlan, Script, Step, Summary, What,
 };
@@ -182,6 +182,7 @@
             out.flush()?;
         }
         broken.extend(check(&events, &classes, deployment.drain_grace));
+        broken.extend(check_cold(&events, deployment));
         let count = |wanted: fn(&What) -> bool| events.iter().filter(|e| wanted(&e.what)).count() as u32;
         // Each was killed once more, at the end.
         let kills = count(|w| matches!(w, What::Killed { .. })).saturating_sub(self.schedulers as u32);
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use spanlead_standin::check::{Broken, RULES, check};
+use spanlead_standin::check::{Broken, RULES, check, check_cold};
 use spanlead_standin::{
     Deployment, Fleet, FleetPlan, Keeper, Load, Plan, Record, Scheduler, Summary, What, config,
 };
@@ -144,7 +144,7 @@
         std::fs::create_dir_all(&folder)?;
         let record = Record::new();
         let (doubled, owners) = (self.doubled.unwrap_or(deployment.doubled), deployment.tenants.clone());
-        let grace = deployment.drain_grace;
+        let (grace, played) = (deployment.drain_grace, deployment.clone());
         let mut plan = FleetPlan::of(deployment, self.workers, seed);
         plan.leases = self.leases;
         plan.bare = self.inventory > 0;
@@ -213,7 +213,9 @@
         }
         let died = events.iter().filter(|e| matches!(e.what, What::Died { .. })).count() as u32;
         let kills = (troubles.killed, died);
-        Ok(Found { summary, broken: check(&events, &classes, grace), kills, cpu, ledger })
+        let mut broken = check(&events, &classes, grace);
+        broken.extend(check_cold(&events, &played));
+        Ok(Found { summary, broken, kills, cpu, ledger })
     }
 
     fn show(&self, found: &Found) {
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -1,4 +1,5 @@
 //! Reads a record and says which rules were broken.
+use crate::deployment::Deployment;
 use crate::fleet::{Class, Scope};
 use crate::record::{Event, What};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -32,6 +33,8 @@
     Drain,
     /// Nothing to a worker that the live list has not named.
     Listed,
+    /// A worker that has just started is not sent more than it bears, by all schedulers together.
+    Cold,
     /// Schedulers that can reach each other see each other in the end.
     Together,
 }
@@ -46,13 +49,14 @@
             Rule::OwnResult => "each job its own result",
             Rule::Drain => "nothing to draining workers",
             Rule::Listed => "nothing to workers that are not listed",
+            Rule::Cold => "no cold worker pushed over",
             Rule::Together => "schedulers see each other in the end",
         })
     }
 }
 
 /// All rules, for a table.
-pub const RULES: [Rule; 8] = [
+pub const RULES: [Rule; 9] = [
     Rule::OneAnswer,
     Rule::Settled,
     Rule::OneRun,
@@ -60,6 +64,7 @@
     Rule::OwnResult,
     Rule::Drain,
     Rule::Listed,
+    Rule::Cold,
     Rule::Together,
 ];
 
@@ -220,3 +225,41 @@
     }
     broken
 }
+
+/// Whether workers that had just started were sent more, by all schedulers together, than the deployment's rule lets them bear: within
+/// `tip` more than `tip_multiple` times the jobs of mean length that they do at their capacity of then, N, and for chance three times
+/// the root of N and three jobs.
+pub fn check_cold(events: &[Event], deployment: &Deployment) -> Vec<Broken> {
+    let d = deployment;
+    let shares: f64 = d.classes.iter().map(|c| c.share).sum();
+    let mean: f64 = d.classes.iter().map(|c| c.run.as_secs_f64() * c.share / shares).sum();
+    let (cold, tip) = (d.cold.as_secs_f64(), d.tip.as_secs_f64());
+    // Capacity rises evenly from the cold share to the whole.
+    let ramp = |t: f64| (d.cold_from + (1.0 - d.cold_from) * t / cold.max(1e-9)).min(1.0);
+    let mut broken = Vec::new();
+    for (i, born) in events.iter().enumerate() {
+        let What::Born { worker } = &born.what else { continue };
+        let Some(number) = worker.strip_prefix('w').and_then(|n| n.parse::<usize>().ok()) else { continue };
+        let kind = d.kind(number);
+        let rate = kind.slots.min(kind.cores) as f64 * kind.speed / mean;
+        let mine = events[i..].iter().take_while(|e| e.what != What::Died { worker: worker.clone() });
+        let sent: Vec<f64> = mine
+            .filter(|e| matches!(&e.what, What::Received { worker: to, .. } if to == worker))
+            .map(|e| (e.at - born.at).as_secs_f64())
+            .collect();
+        for (n, begun) in sent.iter().enumerate().take_while(|(_, at)| **at < cold) {
+            let count = sent[n..].iter().take_while(|at| **at <= begun + tip).count() as f64;
+            // A hundred steps of the window are near enough to the integral.
+            let bears: f64 = (0..100).map(|s| ramp(begun + tip * (f64::from(s) + 0.5) / 100.0) / 100.0).sum();
+            let most = d.tip_multiple * rate * tip * bears;
+            if count > most + 3.0 * most.sqrt() + 3.0 {
+                let what = format!(
+                    "{worker} got {count} in {tip} s, {begun:.1} s after its start, and bears {most:.0}"
+                );
+                broken.push(Broken { rule: Rule::Cold, what });
+                break;
+            }
+        }
+    }
+    broken
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A whole platform: discovery, workers in zones and cells, and the configuration of a scheduler for it.
 use crate::deployment::Deployment;
 use crate::discovery::{Discovery, Listed};
-use crate::record::Record;
+use crate::record::{Record, What};
 use crate::worker::{Behaviour, Callbacks, Known, Memory, Reports, Worker, WorkerPlan};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -235,6 +235,7 @@
     /// Starts a worker that was killed, cold, at another address.
     pub async fn restart(&mut self, name: &str) -> io::Result<()> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        self.record.add(What::Born { worker: name.to_owned() });
         self.begin(name, born).await
     }
 
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -108,6 +108,10 @@
     Network {
         what: String,
     },
+    /// A worker process has started, cold.
+    Born {
+        worker: String,
+    },
     /// A worker process has died.
     Died {
         worker: String,
--- a/crates/standin/tests/check.rs
+++ b/crates/standin/tests/check.rs
@@ -1,6 +1,6 @@
 //! The checker against records made by hand: each breaks one rule, or none.
-use spanlead_standin::check::{Rule, check};
-use spanlead_standin::{Event, What, classes};
+use spanlead_standin::check::{Rule, check, check_cold};
+use spanlead_standin::{Deployment, Event, What, classes};
 use std::time::Duration;
 
 fn ms(at: u64) -> Duration {
@@ -121,3 +121,22 @@
     let again = vec![(0, received("r1", "w00")), (1, over("r1", "w00")), (2, received("r1", "w01"))];
     assert_eq!(broken(again), []);
 }
+
+// A worker that starts is sent so many jobs, evenly over two seconds, by two schedulers.
+#[test]
+fn a_cold_worker_that_is_pushed_over_is_seen() {
+    let mut deployment = Deployment::default_one(Some(0.02));
+    (deployment.cold, deployment.tip, deployment.tip_multiple) = (ms(8000), ms(2000), 3.0);
+    let pushed = |jobs: u64| {
+        let born = Event { at: ms(1000), what: What::Born { worker: "w00".into() } };
+        let sent = (0..jobs).map(|n| {
+            let (scheduler, worker) = ((n % 2) as u32, "w00".into());
+            let what = What::Received { scheduler, request: format!("r{n}"), worker, token: None };
+            Event { at: ms(1000 + 2000 * n / jobs), what }
+        });
+        check_cold(&std::iter::once(born).chain(sent).collect::<Vec<_>>(), &deployment)
+    };
+    // It does about 50 a second when it is warm, and four tenths of that in the mean of these two seconds.
+    assert!(pushed(60).is_empty());
+    assert_eq!(pushed(400).into_iter().map(|b| b.rule).collect::<Vec<_>>(), [Rule::Cold]);
+}
