--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -219,7 +219,7 @@
     serve_rate: Rate,
     looks: Rate,
     weight_sum: f64,
-    /// How long served jobs ran in the mean, nanoseconds, and the slots of a worker, by those that were heard.
+    /// How long served jobs ran in the mean, nanoseconds, and the slots of a worker, by those heard of.
     mean_run: f64,
     slots: f64,
     /// The ready workers' weights, each by its ramp, and when that was last added up.
--- a/crates/oatdock/src/choice/walk.rs
+++ b/crates/oatdock/src/choice/walk.rs
@@ -127,7 +127,7 @@
             self.capacity = ready.map(|w| w.weight * w.ramp(&self.set.rules, now)).sum();
             let seen = self.workers.iter().filter(|w| w.state == WorkerState::Ready && w.most_slots > 0.0);
             let (heard, slots) = seen.fold((0.0, 0.0), |(n, sum), w| (n + 1.0, sum + w.most_slots));
-            // One that just started was not heard of yet; what is known of those before it goes on.
+            // Those that just started were not heard of yet.
             self.slots = if heard > 0.0 { slots / heard } else { self.slots };
             self.capacity_at = now;
         }
@@ -139,8 +139,8 @@
         }
         let window_s = self.set.rules.tip_after as f64 / SEC as f64;
         let mean_weight = self.weight_sum / n as f64;
-        // An equal part of what a warm worker does in a window, so that all parts add up to that whatever each
-        // sees of the traffic; where that is not told, as much as own traffic brings a warm one.
+        // An equal part of what a warm worker does in a window, so that all parts add up to that whatever
+        // each sees of the traffic; where that is not told, as much as own traffic brings a warm one.
         let does = self.slots * window_s * SEC as f64 / self.mean_run.max(1.0);
         let share = match does > 0.0 && self.mean_run > 0.0 {
             true => does / f64::from(self.set.instances) / mean_weight.max(1e-3),
