Let one piece of code serve where the change had written it twice; behaviour as it was

Found and mended: - duties/holder.rs: the grant's length, the other schedulers, an item, and giving a grant back each stood three to six times; now `Settings::grant`, `others`, `tell`, `tell_others`, `free`. - core/duties.rs: three lists side by side are one of `Work`; `MS` is the crate's; `told` stood for its only caller. - oatdock: a served job's running time was worked out twice in `ended`. - standin: discovery and the resource accept by `http::serve`; `Rig::ask` and `order` by one `call`; a process's CPU time was read in three places, a record written in two: `cpu_of`, `Record::save`. `check` takes the deployment and judges cold workers too, so that no caller can forget it. Dead: `Discovery::known` for nobody, `Rig::folder`, the flag that `Shared::text` returned. - trial.rs asked the operators' door by hand beside `door::call`; tests/tier.rs and duties.rs start their rig by tests/rigs.

--- a/crates/core/src/duties.rs
+++ b/crates/core/src/duties.rs
@@ -1,13 +1,12 @@
 //! Duties' place in the reducer: leases by the timers and the members' datagrams, and what the holder of a duty does: a call to an
 //! address that operators have named, with the term in it.
-use crate::{Core, Effect, Timer};
+use crate::{Core, Effect, MS, Timer};
 use oatdock::Nanos;
 use serde::Serialize;
-use spanlead_duties::{Change, Duties, Figures, MAX_ITEMS, Out, Settings, Term, decode};
+use spanlead_duties::{Duties, Figures, MAX_ITEMS, Out, Settings, Term, decode};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const MS: Nanos = 1_000_000;
 /// The protocol's number among those that members' datagrams carry.
 pub(crate) const KIND: u8 = 1;
 /// How long a call may take.
@@ -36,12 +35,18 @@
 
 /// The duties, and what they are.
 pub(crate) struct Held {
-    pub duties: Duties,
-    tasks: Vec<Task>,
+    duties: Duties,
+    /// What they are, in their order.
+    work: Vec<Work>,
     every: Nanos,
-    /// Calls that are out, by duty.
-    calling: Vec<bool>,
-    calls: Vec<u64>,
+}
+
+struct Work {
+    task: Task,
+    /// Its call is out.
+    calling: bool,
+    /// Calls that were made.
+    calls: u64,
 }
 
 /// A duty as operators are shown it.
@@ -73,9 +78,8 @@
         for (at, task) in tasks.iter().enumerate() {
             self.set_timer(now + task.every, Timer::Duty(at));
         }
-        let (calling, calls) = (vec![false; tasks.len()], vec![0; tasks.len()]);
-        self.duties =
-            Some(Held { duties: Duties::new(settings, &names, now / MS), tasks, every, calling, calls });
+        let work = tasks.into_iter().map(|task| Work { task, calling: false, calls: 0 }).collect();
+        self.duties = Some(Held { duties: Duties::new(settings, &names, now / MS), work, every });
         self.tend_duties(now, out);
     }
 
@@ -97,14 +101,14 @@
         let Some(held) = &mut self.duties else { return };
         let mut said = Vec::new();
         held.duties.rest(true);
-        (0..held.tasks.len()).for_each(|at| held.duties.release(now / MS, at, &mut said));
+        (0..held.work.len()).for_each(|at| held.duties.release(now / MS, at, &mut said));
         self.duty_effects(said, out);
     }
 
-    /// Gives one back by its name; whether there is one.
+    /// Gives one back by its name, if it is held.
     pub(crate) fn release_duty(&mut self, now: Nanos, name: &str, out: &mut Vec<Effect>) {
         let Some(held) = &mut self.duties else { return };
-        let Some(at) = held.tasks.iter().position(|t| t.name == name) else { return };
+        let Some(at) = held.work.iter().position(|w| w.task.name == name) else { return };
         let mut said = Vec::new();
         held.duties.release(now / MS, at, &mut said);
         self.duty_effects(said, out);
@@ -121,20 +125,20 @@
     /// It is time for what a duty does: if it is held here, at this moment.
     pub(crate) fn do_duty(&mut self, now: Nanos, at: usize, out: &mut Vec<Effect>) {
         let Some(held) = &mut self.duties else { return };
-        let Some(task) = held.tasks.get(at) else { return };
-        let (every, busy) = (task.every, held.calling[at]);
-        if let Some(term) = held.duties.may_act(now / MS, at).filter(|_| !busy) {
-            let (addr, path) = (task.addr, task.path.clone());
-            (held.calling[at], held.calls[at]) = (true, held.calls[at] + 1);
+        let Some(work) = held.work.get_mut(at) else { return };
+        if let Some(term) = held.duties.may_act(now / MS, at).filter(|_| !work.calling) {
+            (work.calling, work.calls) = (true, work.calls + 1);
+            let (addr, path) = (work.task.addr, work.task.path.clone());
             out.push(Effect::Call { duty: at, term, addr, path, until: now + CALL_WAIT });
         }
+        let every = work.task.every;
         self.set_timer(now + every, Timer::Duty(at));
     }
 
     pub(crate) fn called(&mut self, now: Nanos, at: usize, how: Called, out: &mut Vec<Effect>) {
         let Some(held) = &mut self.duties else { return };
-        let Some(calling) = held.calling.get_mut(at) else { return };
-        *calling = false;
+        let Some(work) = held.work.get_mut(at) else { return };
+        work.calling = false;
         if let Called::Fenced(highest) = how {
             let mut said = Vec::new();
             held.duties.fenced(now / MS, at, highest, &mut said);
@@ -152,15 +156,13 @@
                 name: duty.name.clone(),
                 holder: granted.map(|(holder, ..)| holder),
                 term: mine.or(granted.map(|(_, term, _)| term)),
-                state: if mine.is_some() {
-                    "held"
-                } else if granted.is_some() {
-                    "granted"
-                } else {
-                    "vacant"
+                state: match (mine, granted) {
+                    (Some(_), _) => "held",
+                    (None, Some(_)) => "granted",
+                    (None, None) => "vacant",
                 },
                 left_ms: granted.map_or(0, |(.., left)| left),
-                calls: held.calls[at],
+                calls: held.work[at].calls,
                 figures,
             }
         });
@@ -172,18 +174,10 @@
             match said {
                 Out::Send(to, bytes) => self.carry(to, KIND, bytes, out),
                 Out::Changed(at, change) => {
-                    let name = self.duties.as_ref().and_then(|h| h.tasks.get(at)).map(|t| t.name.clone());
+                    let name = self.duties.as_ref().and_then(|h| h.work.get(at)).map(|w| w.task.name.clone());
                     out.push(Effect::DutyChanged { name: name.unwrap_or_default(), change });
                 }
             }
         }
     }
 }
-
-/// Words for a change of hands.
-pub fn told(change: Change) -> (&'static str, Term, Option<spanlead_duties::Reason>) {
-    match change {
-        Change::Took(term) => ("took", term, None),
-        Change::Lost(term, why) => ("lost", term, Some(why)),
-    }
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,7 +13,7 @@
 
 use durable::Durable;
 pub use durable::{Durability, LedgerFigures};
-pub use duties::{Called, DutyView, Task, told};
+pub use duties::{Called, DutyView, Task};
 pub use gate::{Gate, Passage};
 use members::{Facts, Member};
 use membership::Membership;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,12 +1,10 @@
 //! The members' place in the reducer: heartbeats by the timers, what this scheduler says of itself from its state.
 use crate::duties::KIND;
-use crate::{Core, Effect, Timer};
+use crate::{Core, Effect, MS, Timer};
 use oatdock::Nanos;
 use serde::Serialize;
 use spanlead_membership::{Members, Out, Settings, Stage, State};
 
-const MS: Nanos = 1_000_000;
-
 /// The members, and the span between two heartbeats.
 pub(crate) struct Membership {
     pub members: Members,
--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -24,6 +24,19 @@
     pub seed: u64,
 }
 
+impl Settings {
+    /// How long an elector's grant lasts.
+    fn grant(&self) -> Millis {
+        self.lease + self.bound
+    }
+
+    /// All other schedulers.
+    fn others(&self) -> impl Iterator<Item = u16> + use<> {
+        let me = self.me;
+        (0..self.count).filter(move |n| *n != me)
+    }
+}
+
 /// Why a duty was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -139,11 +152,10 @@
 impl Duties {
     /// A scheduler that starts now.
     pub fn new(set: Settings, names: &[String], now: Millis) -> Self {
-        let grant = set.lease + set.bound;
         let duty = |name: &String| Duty {
             name: name.clone(),
             hash: xxh3_64(name.as_bytes()) as u32,
-            elector: Elector::new(now, grant),
+            elector: Elector::new(now, set.grant()),
             held: None,
             question: None,
             not_before: 0,
@@ -287,39 +299,45 @@
     /// A question that was not answered well in time: what was granted of it is given back. Two that each have some of the others would
     /// keep it from each other, and from everyone, for a lease.
     fn withdraw(&mut self, now: Millis, at: usize, words: &mut Words) {
-        let (pause, set) = (self.pause(), self.set.clone());
+        let (pause, patience) = (self.pause(), self.set.patience);
         let duty = &mut self.duties[at];
-        let over = |q: &mut Question| now >= q.at + set.patience;
-        let Some(question) = duty.question.take_if(|q| duty.held.is_none() && over(q)) else { return };
+        let over = |q: &mut Question| duty.held.is_none() && now >= q.at + patience;
+        let Some(Question { term, .. }) = duty.question.take_if(over) else { return };
         duty.not_before = duty.not_before.max(now + pause);
-        let (term, grant) = (question.term, set.lease + set.bound);
-        let freed = duty.elector.release(now, set.me, term, set.patience, grant);
-        let item = Item { duty: duty.hash, count: set.count, word: Word::Withdraw { term } };
-        for to in (0..set.count).filter(|n| *n != set.me) {
-            words.entry(to).or_default().push(item);
-        }
-        if let Some((to, word)) = freed {
-            words.entry(to).or_default().push(Item { word, ..item });
+        self.tell_others(at, Word::Withdraw { term }, words);
+        self.free(now, at, self.set.me, term, words);
+    }
+
+    /// What this elector has granted of that term is over; it goes to the one that it has just refused, if there is one.
+    fn free(&mut self, now: Millis, at: usize, from: u16, term: Term, words: &mut Words) {
+        let (patience, grant) = (self.set.patience, self.set.grant());
+        if let Some((to, word)) = self.duties[at].elector.release(now, from, term, patience, grant) {
+            self.tell(at, to, word, words);
         }
     }
 
+    fn tell(&self, at: usize, to: u16, word: Word, words: &mut Words) {
+        let item = Item { duty: self.duties[at].hash, count: self.set.count, word };
+        words.entry(to).or_default().push(item);
+    }
+
+    fn tell_others(&self, at: usize, word: Word, words: &mut Words) {
+        self.set.others().for_each(|to| self.tell(at, to, word, words));
+    }
+
     fn ask(&mut self, now: Millis, wall: Millis, at: usize, words: &mut Words, out: &mut Vec<Out>) {
         self.questions += 1;
-        let (number, set) = (self.questions, self.set.clone());
+        let (number, me, grant) = (self.questions, self.set.me, self.set.grant());
         let duty = &mut self.duties[at];
         // One that holds it goes on under its term, unless an elector has heard of a higher one in vain: it would never grant this one
         // again.
         let next = duty.elector.highest() + 1;
         let term = duty.held.map_or(next.max(wall), |h| if next > h.term + 1 { next } else { h.term });
         duty.question = Some(Question { number, term, at: now, granted: Vec::new() });
-        let item = Item { duty: duty.hash, count: set.count, word: Word::Ask { ask: number, term } };
-        for to in (0..set.count).filter(|n| *n != set.me) {
-            words.entry(to).or_default().push(item);
-        }
-        let grant = set.lease + set.bound;
-        let own = self.duties[at].elector.ask(now, set.me, number, term, grant);
+        let own = duty.elector.ask(now, me, number, term, grant);
+        self.tell_others(at, Word::Ask { ask: number, term }, words);
         if let Some(word) = own {
-            self.answered(now, at, set.me, word, out);
+            self.answered(now, at, me, word, out);
         }
     }
 
@@ -373,29 +391,26 @@
         words: &mut Words,
         out: &mut Vec<Out>,
     ) {
-        let (grant, pause) = (self.set.lease + self.set.bound, self.pause());
-        let duty = &mut self.duties[at];
         match word {
             Word::Ask { ask, term } => {
-                if let Some(word) = duty.elector.ask(now, from, ask, term, grant) {
-                    let item = Item { duty: duty.hash, count: self.set.count, word };
-                    words.entry(from).or_default().push(item);
+                let grant = self.set.grant();
+                if let Some(word) = self.duties[at].elector.ask(now, from, ask, term, grant) {
+                    self.tell(at, from, word, words);
                 }
             }
-            Word::Withdraw { term } | Word::Release { term } => {
-                let (patience, grant) = (self.set.patience, self.set.lease + self.set.bound);
-                if let Some((to, word)) = duty.elector.release(now, from, term, patience, grant) {
-                    let item = Item { duty: duty.hash, count: self.set.count, word };
-                    words.entry(to).or_default().push(item);
-                }
-                if matches!(word, Word::Withdraw { .. }) {
-                    duty.elector.withdraw(from);
-                    duty.not_before = duty.not_before.min(now + pause);
-                } else {
-                    duty.not_before = duty.not_before.min(now);
-                    duty.passed = Some((from, now + self.set.lease));
-                    duty.vacant = Some(now);
-                }
+            Word::Withdraw { term } => {
+                self.free(now, at, from, term, words);
+                let pause = self.pause();
+                let duty = &mut self.duties[at];
+                duty.elector.withdraw(from);
+                duty.not_before = duty.not_before.min(now + pause);
+            }
+            Word::Release { term } => {
+                self.free(now, at, from, term, words);
+                let duty = &mut self.duties[at];
+                duty.not_before = duty.not_before.min(now);
+                duty.passed = Some((from, now + self.set.lease));
+                duty.vacant = Some(now);
             }
             Word::Grant { .. } | Word::Refuse { .. } => self.answered(now, at, from, word, out),
         }
@@ -418,14 +433,9 @@
         // Who gives it back does not take it again before the others had their turn.
         duty.not_before = now + self.set.lease;
         duty.passed = Some((self.set.me, now + self.set.lease));
-        let (patience, grant) = (self.set.patience, self.set.lease + self.set.bound);
-        let granted = duty.elector.release(now, self.set.me, held.term, patience, grant);
-        let item = Item { duty: duty.hash, count: self.set.count, word: Word::Release { term: held.term } };
-        let others = (0..self.set.count).filter(|n| *n != self.set.me);
-        let mut words: Words = others.map(|to| (to, vec![item])).collect();
-        if let Some((to, word)) = granted {
-            words.entry(to).or_default().push(Item { word, ..item });
-        }
+        let mut words = Words::new();
+        self.tell_others(at, Word::Release { term: held.term }, &mut words);
+        self.free(now, at, self.set.me, held.term, &mut words);
         send(words, out);
     }
 }
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -4,7 +4,7 @@
 //! "How NOT to Measure Latency", 2013).
 use crate::spec::{Experiment, Law, Repeats};
 use spanlead_standin::{
-    Class, Deployment, Fleet, FleetPlan, Load, Plan, Record, Scheduler, Scope, Summary, config,
+    Class, Deployment, Fleet, FleetPlan, Load, Plan, Record, Scheduler, Scope, Summary, config, cpu_of,
 };
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -42,14 +42,6 @@
     }
 }
 
-/// The time on a CPU that a process has taken: fields 14 and 15 of proc(5)'s stat, counted behind the name.
-fn cpu_of(id: u32) -> Duration {
-    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    let fields = text.rsplit(')').next().unwrap_or("").split_whitespace();
-    let ticks: u64 = fields.skip(11).take(2).filter_map(|f| f.parse::<u64>().ok()).sum();
-    Duration::from_millis(ticks * 10)
-}
-
 /// The classes as stand-ins run them, `scale` times as long.
 fn classes(experiment: &Experiment, scale: f64) -> Vec<Class> {
     let class = |c: &crate::spec::ClassSpec| Class {
--- a/crates/oatdock/src/choice/attempts.rs
+++ b/crates/oatdock/src/choice/attempts.rs
@@ -144,16 +144,15 @@
                 self.workers[w as usize].fulls = 0;
                 self.workers[w as usize].strikes = 0;
                 self.serve_rate.add(now, slots);
-                let run = job_heard.filter(|_| self.set.tells_start).map_or(lag, |t| now - t) as f64;
-                self.mean_run += (run - self.mean_run) * if self.mean_run == 0.0 { 1.0 } else { 0.02 };
+                let run = job_heard.filter(|_| self.set.tells_start).map_or(lag, |t| now - t);
+                self.mean_run += (run as f64 - self.mean_run) * if self.mean_run == 0.0 { 1.0 } else { 0.02 };
                 let mean = if fetches { &mut self.lag_fetched } else { &mut self.lag_kept };
                 if keyed {
                     let first = *mean == 0.0;
                     *mean += (lag as f64 - *mean) * if first { 1.0 } else { 0.02 };
                 } else {
                     // Jobs with keys do not count: an evicted key's fetch would pass for slowness.
-                    let heard = job_heard.filter(|_| self.set.tells_start);
-                    self.learn_lag(w, now, class, heard.map_or(lag, |t| now - t), hint);
+                    self.learn_lag(w, now, class, run, hint);
                 }
             }
             Outcome::Full => {
--- a/crates/spanlead/examples/tier.rs
+++ b/crates/spanlead/examples/tier.rs
@@ -2,20 +2,17 @@
 //! Figures: `docs/measurements/membership.md`.
 //!
 //! `cargo run --release -p spanlead --example tier -- PROGRAM COUNT LOSS% MINUTES KILLS`
-use spanlead_standin::{Deployment, FleetPlan, Rig, RigPlan, Way};
+use spanlead_standin::{Deployment, FleetPlan, Rig, RigPlan, Way, cpu_of};
 use std::time::{Duration, SystemTime};
 use tokio::time::{Instant, sleep, sleep_until};
 
 type Failure = Box<dyn std::error::Error>;
 
-/// CPU ticks of a process, and its resident memory in KiB, from /proc (proc(5)).
-fn used(id: u32) -> (u64, u64) {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    let fields = stat.rsplit(')').next().unwrap_or("").split_whitespace();
-    let ticks = fields.skip(11).take(2).filter_map(|f| f.parse::<u64>().ok()).sum();
+/// The resident memory of a process in KiB (proc(5)).
+fn memory_of(id: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
     let kib = status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok());
-    (ticks, kib.unwrap_or(0))
+    kib.unwrap_or(0)
 }
 
 fn quantile(values: &mut [u128], q: f64) -> u128 {
@@ -56,13 +53,14 @@
     rig.wires.change_all(|way| *way = Way { loss, ..Way::default() });
     let marks: Vec<usize> = (0..count).map(|n| rig.logged(n).len()).collect();
     let ids: Vec<u32> = rig.schedulers.iter().filter_map(|s| s.id()).collect();
-    let (before, begun) = (ids.iter().map(|id| used(*id).0).sum::<u64>(), Instant::now());
+    let cpu_by_now = || ids.iter().copied().map(cpu_of).sum::<Duration>();
+    let (before, begun) = (cpu_by_now(), Instant::now());
     let passed = rig.wires.passed();
     sleep_until(begun + Duration::from_secs_f64(minutes * 60.0)).await;
     let seconds = begun.elapsed().as_secs_f64();
     let (sent, bytes) = (rig.wires.passed().sent - passed.sent, rig.wires.passed().bytes - passed.bytes);
-    let cpu = (ids.iter().map(|id| used(*id).0).sum::<u64>() - before) as f64 * 10.0;
-    let memory = ids.iter().map(|id| used(*id).1).max().unwrap_or(0);
+    let cpu = (cpu_by_now() - before).as_secs_f64() * 1000.0;
+    let memory = ids.iter().copied().map(memory_of).max().unwrap_or(0);
     let logged = |rig: &Rig, to: &str| -> usize {
         (0..count).map(|n| rig.logged(n).iter().skip(marks[n]).filter(|c| c.to == to).count()).sum()
     };
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -14,7 +14,6 @@
 use spanlead_conf as conf;
 use spanlead_core::{
     Answer, AttemptId, Core, Durability, Effect, Gate, Handover, Input, Offered, Passage, Reply, Tale, Task,
-    told,
 };
 use spanlead_facts::{Report, Vocabulary, reconcile};
 use spanlead_inventory::desk::{Desk, News, Status};
--- a/crates/spanlead/src/driver/effects.rs
+++ b/crates/spanlead/src/driver/effects.rs
@@ -1,5 +1,6 @@
 //! What the reducer asks for, done.
 use super::*;
+use spanlead_duties::Change;
 
 impl Driver {
     pub(super) fn perform(&mut self, effect: Effect) {
@@ -73,7 +74,10 @@
                 });
             }
             Effect::DutyChanged { name, change } => {
-                let (what, term, why) = told(change);
+                let (what, term, why) = match change {
+                    Change::Took(term) => ("took", term, None),
+                    Change::Lost(term, why) => ("lost", term, Some(why)),
+                };
                 tracing::info!(name, what, term, why = ?why, "duty");
             }
             Effect::MemberChanged(change) => {
--- a/crates/spanlead/src/tier.rs
+++ b/crates/spanlead/src/tier.rs
@@ -1,10 +1,9 @@
 //! `spanlead try --schedulers N`: several schedulers among stand-ins, with faults between them by a script or a seed.
 use crate::trial::{Failure, Found, Trial};
-use spanlead_standin::check::{Broken, Rule, check, check_cold};
+use spanlead_standin::check::{Broken, Rule, check};
 use spanlead_standin::{
     Deployment, FleetPlan, Load, Mixture, Plan, Rig, RigPlan, Script, Step, Summary, What,
 };
-use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -169,20 +168,15 @@
             passed.bytes as f64 / took / self.schedulers as f64,
             100.0 * passed.delivered as f64 / passed.sent.max(1) as f64
         );
-        let cpu = rig.schedulers.iter().map(crate::trial::cpu_of).sum();
+        let cpu = rig.schedulers.iter().map(spanlead_standin::Scheduler::cpu).sum();
         for scheduler in &mut rig.schedulers {
             scheduler.kill().await;
         }
         let events = rig.record.events();
         if trial.folder.is_some() {
-            let mut out = std::io::BufWriter::new(std::fs::File::create(folder.join("record.jsonl"))?);
-            for event in &events {
-                writeln!(out, "{}", serde_json::to_string(event)?)?;
-            }
-            out.flush()?;
+            rig.record.save(&folder.join("record.jsonl"))?;
         }
-        broken.extend(check(&events, &classes, deployment.drain_grace));
-        broken.extend(check_cold(&events, deployment));
+        broken.extend(check(&events, deployment));
         let count = |wanted: fn(&What) -> bool| events.iter().filter(|e| wanted(&e.what)).count() as u32;
         // Each was killed once more, at the end.
         let kills = count(|w| matches!(w, What::Killed { .. })).saturating_sub(self.schedulers as u32);
--- a/crates/spanlead/src/trial.rs
+++ b/crates/spanlead/src/trial.rs
@@ -1,4 +1,5 @@
 //! `spanlead try`: the scheduler among stand-ins on loopback, with as much trouble as is asked for.
+use crate::door::call;
 use crate::tier::Tier;
 use clap::Args;
 use comfy_table::{CellAlignment, Table, presets};
@@ -6,11 +7,10 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use spanlead_standin::check::{Broken, RULES, check, check_cold};
+use spanlead_standin::check::{Broken, RULES, check};
 use spanlead_standin::{
     Deployment, Fleet, FleetPlan, Keeper, Load, Plan, Record, Scheduler, Summary, What, config,
 };
-use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -144,7 +144,6 @@
         std::fs::create_dir_all(&folder)?;
         let record = Record::new();
         let (doubled, owners) = (self.doubled.unwrap_or(deployment.doubled), deployment.tenants.clone());
-        let (grace, played) = (deployment.drain_grace, deployment.clone());
         let mut plan = FleetPlan::of(deployment, self.workers, seed);
         plan.leases = self.leases;
         plan.bare = self.inventory > 0;
@@ -195,7 +194,7 @@
             }
         };
         bar.finish_and_clear();
-        cpu += cpu_of(&scheduler);
+        cpu += scheduler.cpu();
         // What still runs may yet run twice.
         let until = Instant::now() + Duration::from_secs(5);
         while Instant::now() < until && !fleet.workers.values().all(spanlead_standin::Worker::idle) {
@@ -205,17 +204,11 @@
         scheduler.kill().await;
         let events = record.events();
         if self.folder.is_some() {
-            let mut out = std::io::BufWriter::new(std::fs::File::create(folder.join("record.jsonl"))?);
-            for event in &events {
-                writeln!(out, "{}", serde_json::to_string(event)?)?;
-            }
-            out.flush()?;
+            record.save(&folder.join("record.jsonl"))?;
         }
         let died = events.iter().filter(|e| matches!(e.what, What::Died { .. })).count() as u32;
         let kills = (troubles.killed, died);
-        let mut broken = check(&events, &classes, grace);
-        broken.extend(check_cold(&events, &played));
-        Ok(Found { summary, broken, kills, cpu, ledger })
+        Ok(Found { summary, broken: check(&events, fleet.deployment()), kills, cpu, ledger })
     }
 
     fn show(&self, found: &Found) {
@@ -275,25 +268,11 @@
 
 /// What the operators' door tells of the ledger.
 fn figures(scheduler: &Scheduler) -> Option<serde_json::Value> {
-    let mut door = std::net::TcpStream::connect(scheduler.operator).ok()?;
-    door.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    door.write_all(b"GET /ops/stats HTTP/1.1\r\nHost: operator\r\n\r\n").ok()?;
-    let mut text = String::new();
-    door.read_to_string(&mut text).ok()?;
-    let all: serde_json::Value = serde_json::from_str(text.split_once("\r\n\r\n")?.1).ok()?;
+    let all: serde_json::Value =
+        serde_json::from_str(&call(scheduler.operator, "GET", "/ops/stats").ok()?).ok()?;
     Some(all["ledger"].clone())
 }
 
-/// What the process has taken of a CPU so far.
-pub(crate) fn cpu_of(scheduler: &Scheduler) -> Duration {
-    let Some(id) = scheduler.id() else { return Duration::ZERO };
-    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    // Fields 14 and 15 of proc(5)'s stat, counted behind the name, which ends with the last bracket.
-    let fields = text.rsplit(')').next().unwrap_or("").split_whitespace();
-    let ticks: u64 = fields.skip(11).take(2).filter_map(|f| f.parse::<u64>().ok()).sum();
-    Duration::from_millis(ticks * 10)
-}
-
 /// What goes wrong, and when.
 struct Troubles {
     plan: Vec<(Instant, Trouble)>,
@@ -359,7 +338,7 @@
         self.said = format!("{trouble:?}");
         match (trouble, worker) {
             (Trouble::KillScheduler, _) if scheduler.id().is_some() => {
-                let cpu = cpu_of(scheduler);
+                let cpu = scheduler.cpu();
                 scheduler.kill().await;
                 self.killed += 1;
                 self.later(1..200, Trouble::StartScheduler);
--- a/crates/spanlead/tests/duties.rs
+++ b/crates/spanlead/tests/duties.rs
@@ -1,13 +1,11 @@
 //! A duty of five processes, one of which holds it: killed, stopped, cut off, restarted. The judge is what the duty acts on, by its own
 //! clock: the terms of the acts that it lets through never go back, and where no process stands still they don't even without its
-//! fence. That somebody holds it in the end is waited for with [`PATIENCE`].
-use spanlead_standin::{Act, Deployment, FleetPlan, Mixture, Resource, Rig, RigPlan, Script};
-use std::path::PathBuf;
-use std::time::Duration;
+//! fence. That somebody holds it in the end is waited for with `PATIENCE`.
+mod rigs;
 
-/// Only ends a test that would hang.
-const PATIENCE: Duration = Duration::from_secs(60);
-const COUNT: usize = 5;
+use rigs::{COUNT, PATIENCE, play};
+use spanlead_standin::{Act, Mixture, Resource, Rig, Script};
+use std::time::Duration;
 
 struct Tier {
     rig: Rig,
@@ -21,14 +19,7 @@
             "membership\n  every 50ms\nleases\n  lease 1s\n  clock-bound 200ms\n  patience 100ms\nduty beacon\n  call http://{}/act\n  every 30ms\n",
             resource.addr
         );
-        let folder =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("duties-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        let mut fleet = FleetPlan::of(Deployment::default_one(None), 3, 7);
-        fleet.schedulers = COUNT;
-        let binary = env!("CARGO_BIN_EXE_spanlead").into();
-        let plan = RigPlan { fleet, sockets: 256, conf, binary, other: None, folder };
-        let rig = Rig::start(plan, 7).await.unwrap_or_else(|e| panic!("{name}: {e}"));
+        let rig = rigs::start(&format!("duties-{name}"), COUNT, 3, &conf).await;
         let tier = Tier { rig, resource };
         tier.acted_beyond(0).await;
         tier
@@ -82,11 +73,6 @@
     }
 }
 
-fn play(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.expect("a runtime").block_on(test);
-}
-
 #[test]
 fn a_killed_holder_s_duty_goes_to_another() {
     play(async {
--- a/crates/spanlead/tests/tier.rs
+++ b/crates/spanlead/tests/tier.rs
@@ -1,39 +1,21 @@
 //! Five processes of the program as a tier, with faults between them: datagrams lost, doubled, late, cut off and spoilt, cuts of one
 //! direction and of sides, processes stopped, killed and restarted. What must never happen is judged from what each process has
-//! done or said over the whole run, whenever it did; what must come in the end is waited for with [`PATIENCE`].
+//! done or said over the whole run, whenever it did; what must come in the end is waited for with `PATIENCE`.
+mod rigs;
+
+use rigs::{COUNT, PATIENCE, play};
 use spanlead_standin::check::check;
-use spanlead_standin::{
-    Act, Deployment, FleetPlan, Load, Logged, Mixture, Plan, Rig, RigPlan, Script, Seen, Way,
-};
-use std::path::PathBuf;
+use spanlead_standin::{Act, Load, Logged, Mixture, Plan, Rig, Script, Seen, Way};
 use std::time::Duration;
 
-/// Only ends a test that would hang.
-const PATIENCE: Duration = Duration::from_secs(60);
-const COUNT: usize = 5;
 const SECTION: &str = "membership\n  every 50ms\n";
 
-fn binary() -> PathBuf {
-    env!("CARGO_BIN_EXE_spanlead").into()
-}
-
 async fn rig(name: &str, conf: &str) -> Rig {
-    let folder =
-        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("tier-{name}-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    let mut fleet = FleetPlan::of(Deployment::default_one(None), 6, 7);
-    fleet.schedulers = COUNT;
-    let plan = RigPlan { fleet, sockets: 512, conf: conf.into(), binary: binary(), other: None, folder };
-    let rig = Rig::start(plan, 7).await.unwrap_or_else(|e| panic!("{name}: {e}"));
+    let rig = rigs::start(&format!("tier-{name}"), COUNT, 6, conf).await;
     assert!(rig.whole(PATIENCE).await, "{name}: they don't find each other");
     rig
 }
 
-fn play(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.expect("a runtime").block_on(test);
-}
-
 /// What scheduler `by` has logged of another since `from`.
 fn changes(rig: &Rig, by: usize, of: usize, from: usize) -> Vec<Logged> {
     rig.logged(by).into_iter().skip(from).filter(|c| c.number == of).collect()
@@ -232,13 +214,7 @@
 #[test]
 fn it_is_off_without_its_section() {
     play(async {
-        let folder =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("tier-off-{}", std::process::id()));
-        let mut fleet = FleetPlan::of(Deployment::default_one(None), 3, 7);
-        fleet.schedulers = 2;
-        let plan =
-            RigPlan { fleet, sockets: 512, conf: String::new(), binary: binary(), other: None, folder };
-        let rig = Rig::start(plan, 7).await.expect("it starts");
+        let rig = rigs::start("tier-off", 2, 3, "").await;
         pass(Duration::from_secs(1)).await;
         assert!(rig.members(0).await.is_none());
         assert_eq!(rig.wires.passed().sent, 0);
@@ -267,7 +243,7 @@
             blind: 1,
             worker_kills: 1,
         };
-        let (classes, grace) = (rig.fleet.classes().to_vec(), rig.fleet.deployment().drain_grace);
+        let classes = rig.fleet.classes().to_vec();
         let loads: Vec<(Load, Plan)> = (0..COUNT as u64)
             .map(|n| {
                 let load = Load::of(n as u32, rig.schedulers[n as usize].addr, rig.record.clone());
@@ -294,7 +270,7 @@
         rig.mend().await.expect("all start");
         assert!(rig.whole(PATIENCE).await, "they don't find each other");
         while clients.join_next().await.is_some() {}
-        let broken = check(&rig.record.events(), &classes, grace);
+        let broken = check(&rig.record.events(), rig.fleet.deployment());
         assert!(broken.is_empty(), "{broken:#?}");
     });
 }
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -1,6 +1,6 @@
 //! Reads a record and says which rules were broken.
 use crate::deployment::Deployment;
-use crate::fleet::{Class, Scope};
+use crate::fleet::Scope;
 use crate::record::{Event, What};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
@@ -80,10 +80,11 @@
     stopped: bool,
 }
 
-/// Reads the record of a load on these classes, where workers that drain get nothing new after `grace`. A request that is open when a scheduler is killed is owed nothing; its
+/// Reads the record of a load on this deployment. A request that is open when a scheduler is killed is owed nothing; its
 /// job still is.
-pub fn check(events: &[Event], classes: &[Class], grace: Duration) -> Vec<Broken> {
-    let mut broken = Vec::new();
+pub fn check(events: &[Event], deployment: &Deployment) -> Vec<Broken> {
+    let (classes, grace) = (&deployment.classes, deployment.drain_grace);
+    let mut broken = check_cold(events, deployment);
     let mut bad = |rule, what: String| broken.push(Broken { rule, what });
     let scope: HashMap<&str, Scope> = classes.iter().map(|c| (c.name.as_str(), c.scope)).collect();
     let mut asked: HashMap<&str, Asked> = HashMap::new();
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -1,11 +1,8 @@
 //! Discovery: the list of workers, whole or by changes.
-use crate::http::{Body, response};
+use crate::http::{Body, response, serve};
 use crate::record::{Record, What};
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -85,21 +82,10 @@
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             addrs.push(listener.local_addr()?);
             let service = shared.clone();
-            let task = tokio::spawn(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    let shared = service.clone();
-                    tokio::spawn(async move {
-                        let answer = service_fn(|request| {
-                            let shared = shared.clone();
-                            async move { Ok::<_, Infallible>(shared.answer(scheduler, &request).await) }
-                        });
-                        let _ = hyper::server::conn::http1::Builder::new()
-                            .serve_connection(TokioIo::new(stream), answer)
-                            .await;
-                    });
-                }
-            });
-            tasks.push(task.abort_handle());
+            tasks.push(serve(listener, move |request| {
+                let shared = service.clone();
+                async move { shared.answer(scheduler, &request).await }
+            }));
         }
         Ok(Discovery { addrs, shared, tasks })
     }
@@ -123,13 +109,8 @@
     }
 
     /// The whole list in discovery's form as a scheduler is given it at its start.
-    pub fn known_to(&self, scheduler: usize) -> serde_json::Value {
-        self.shared.text(scheduler, None, true).1
-    }
-
-    /// The whole list in discovery's form, and its version.
-    pub fn known(&self) -> serde_json::Value {
-        self.shared.text(0, None, false).1
+    pub fn known(&self, scheduler: usize) -> serde_json::Value {
+        self.shared.text(scheduler, None)
     }
 }
 
@@ -147,12 +128,12 @@
         self.changed.notify_waiters();
     }
 
-    /// What is newer than `after`, or all; whether there is anything.
-    fn text(&self, scheduler: usize, after: Option<u64>, told: bool) -> (bool, serde_json::Value) {
+    /// What is newer than `after`, or all, as this scheduler is told it.
+    fn text(&self, scheduler: usize, after: Option<u64>) -> serde_json::Value {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let new = |seq: &u64| after.is_none_or(|after| *seq > after);
         let hosts: Vec<&Listed> = state.hosts.values().filter(|(seq, _)| new(seq)).map(|(_, l)| l).collect();
-        for host in hosts.iter().filter(|_| told) {
+        for host in &hosts {
             let (worker, scheduler) = (host.host.clone(), scheduler as u32);
             let drained = host.health != "active";
             self.record.add(if drained {
@@ -162,7 +143,7 @@
             });
         }
         let list: Vec<_> = hosts.iter().map(|l| l.json(scheduler)).collect();
-        (!list.is_empty(), serde_json::json!({"seq": state.seq, "whole": after.is_none(), "hosts": list}))
+        serde_json::json!({"seq": state.seq, "whole": after.is_none(), "hosts": list})
     }
 
     /// Waits while it is cut off from this scheduler.
@@ -185,7 +166,7 @@
             return response(StatusCode::NOT_FOUND, "");
         }
         let Some(index) = figure("index") else {
-            return response(StatusCode::OK, self.text(scheduler, None, true).1.to_string());
+            return response(StatusCode::OK, self.text(scheduler, None).to_string());
         };
         let until = Instant::now() + Duration::from_millis(figure("wait").unwrap_or(0).min(60_000));
         while !self.newer(index) {
@@ -195,6 +176,6 @@
             }
         }
         self.reached(scheduler).await;
-        response(StatusCode::OK, self.text(scheduler, Some(index), true).1.to_string())
+        response(StatusCode::OK, self.text(scheduler, Some(index)).to_string())
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -313,7 +313,7 @@
         "name": format!("n{me}"), "seed": format!("{:x}", seed.wrapping_add(me as u64)),
         "discovery": fleet.discovery.addrs[me].to_string(),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-        "known": fleet.discovery.known_to(me),
+        "known": fleet.discovery.known(me),
         "settings": {
             "az": me % d.zones.len(), "azs": d.zones, "kinds": d.kinds.iter().map(|k| k.name.clone()).collect::<Vec<_>>(),
             "grades": grades, "tenants": tenants, "me": me, "nInstances": fleet.plan.schedulers, "worthBy": "request",
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -3,11 +3,13 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -23,6 +25,28 @@
     body.collect().await.map(|b| b.to_bytes()).map_err(io::Error::other)
 }
 
+/// Answers all that comes to a listener, for ever.
+pub fn serve<F, A>(listener: TcpListener, answer: F) -> AbortHandle
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Response<Body>> + Send + 'static,
+{
+    let serving = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let service = service_fn(|request| {
+                    let answered = answer(request);
+                    async move { Ok::<_, Infallible>(answered.await) }
+                });
+                let http = hyper::server::conn::http1::Builder::new();
+                let _ = http.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    serving.abort_handle()
+}
+
 /// A client's connection; it closes with this.
 pub struct Connection {
     sender: SendRequest<Body>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -24,7 +24,7 @@
 pub use discovery::{Discovery, Listed};
 pub use fleet::{Class, Fleet, FleetPlan, Kind, Mode, Scope, Via, classes, config, config_of};
 pub use inventory::Keeper;
-pub use process::Scheduler;
+pub use process::{Scheduler, cpu_of};
 pub use record::{Event, Record, What};
 pub use resource::{Act as Deed, Resource};
 pub use rig::{Act, Follow, Logged, Mixture, Rig, RigPlan, Script, Seen, Step};
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -35,6 +35,15 @@
     Ipv4Addr::new(127, 1 + byte(id), byte(id / 250).wrapping_add(byte(serial / 250)), 1 + byte(serial)).into()
 }
 
+/// What a process has taken of a CPU so far.
+pub fn cpu_of(id: u32) -> Duration {
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    // Fields 14 and 15 of proc(5)'s stat, counted behind the name, which ends with the last bracket.
+    let fields = text.rsplit(')').next().unwrap_or("").split_whitespace();
+    let ticks: u64 = fields.skip(11).take(2).filter_map(|f| f.parse::<u64>().ok()).sum();
+    Duration::from_millis(ticks * 10)
+}
+
 fn free(on: IpAddr) -> io::Result<SocketAddr> {
     TcpListener::bind((on, 0))?.local_addr()
 }
@@ -139,9 +148,9 @@
         self.child.as_ref().and_then(Child::id)
     }
 
-    /// Where it keeps its files.
-    pub fn folder(&self) -> &Path {
-        &self.folder
+    /// What the process has taken of a CPU so far.
+    pub fn cpu(&self) -> Duration {
+        self.id().map_or(Duration::ZERO, cpu_of)
     }
 
     /// Whether it has ended, or was never started.
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -1,5 +1,8 @@
 //! What happened, in the order in which it did.
 use serde::Serialize;
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -159,6 +162,18 @@
         self.lock().clone()
     }
 
+    /// Writes all so far to a file, a line of JSON each.
+    ///
+    /// # Errors
+    /// If it can't be written.
+    pub fn save(&self, path: &Path) -> io::Result<()> {
+        let mut out = BufWriter::new(File::create(path)?);
+        for event in self.events() {
+            writeln!(out, "{}", serde_json::to_string(&event)?)?;
+        }
+        out.flush()
+    }
+
     /// How many so far.
     pub fn len(&self) -> usize {
         self.lock().len()
--- a/crates/standin/src/resource.rs
+++ b/crates/standin/src/resource.rs
@@ -1,11 +1,8 @@
 //! What the holder of a duty acts on, and the judge of who held it: every act comes here, on one clock. With a fence it refuses an
 //! act under an older term than it has seen.
-use crate::http::{Body, response};
+use crate::http::{Body, response, serve};
 use hyper::header::HeaderValue;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -56,20 +53,11 @@
         let (held, waiting) = (watch::Sender::new(0), watch::Sender::new(0));
         let shared = Arc::new(Shared { fence, acts: Mutex::default(), held, waiting });
         let service = shared.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let shared = service.clone();
-                tokio::spawn(async move {
-                    let answer = service_fn(|request| {
-                        let shared = shared.clone();
-                        async move { Ok::<_, Infallible>(shared.answer(&request).await) }
-                    });
-                    let http = hyper::server::conn::http1::Builder::new();
-                    let _ = http.serve_connection(TokioIo::new(stream), answer).await;
-                });
-            }
+        let task = serve(listener, move |request| {
+            let shared = service.clone();
+            async move { shared.answer(&request).await }
         });
-        Ok(Resource { addr, shared, task: task.abort_handle() })
+        Ok(Resource { addr, shared, task })
     }
 
     /// All acts so far.
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -5,13 +5,14 @@
 use crate::process::Scheduler;
 use crate::record::{Record, What};
 use crate::wires::{Way, Wires};
-use hyper::Request;
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
 use tokio::time::{Instant, sleep_until};
 
@@ -240,20 +241,21 @@
 
     /// What a scheduler's door answers; `None` if it doesn't, or says no.
     pub async fn ask(&self, scheduler: usize, path: &str) -> Option<serde_json::Value> {
-        let until = Instant::now() + Duration::from_secs(2);
-        let mut door = Connection::open(self.schedulers[scheduler].operator, until).await.ok()?;
-        let request = Request::get(path).header("host", "operator").body("".into()).ok()?;
-        let (head, body) = door.exchange(request, until).await?.ok()?;
-        head.status.is_success().then(|| serde_json::from_slice(&body).ok())?
+        let (status, body) = self.call(scheduler, Method::GET, path).await?;
+        status.is_success().then(|| serde_json::from_slice(&body).ok())?
     }
 
     /// Tells a scheduler's door to do something; the status that it answers.
     pub async fn order(&self, scheduler: usize, path: &str) -> Option<u16> {
+        Some(self.call(scheduler, Method::POST, path).await?.0.as_u16())
+    }
+
+    async fn call(&self, scheduler: usize, method: Method, path: &str) -> Option<(StatusCode, Bytes)> {
         let until = Instant::now() + Duration::from_secs(2);
         let mut door = Connection::open(self.schedulers[scheduler].operator, until).await.ok()?;
-        let request = Request::post(path).header("host", "operator").body("".into()).ok()?;
-        let (head, _) = door.exchange(request, until).await?.ok()?;
-        Some(head.status.as_u16())
+        let request = Request::builder().method(method).uri(path).header("host", "operator");
+        let (head, body) = door.exchange(request.body("".into()).ok()?, until).await?.ok()?;
+        Some((head.status, body))
     }
 
     /// The members as this scheduler sees them.
@@ -430,11 +432,6 @@
         }
         Ok(())
     }
-
-    /// Where a scheduler keeps its files.
-    pub fn folder(&self, scheduler: usize) -> &Path {
-        self.schedulers[scheduler].folder()
-    }
 }
 
 /// What follows from a thing done.
--- a/crates/standin/tests/check.rs
+++ b/crates/standin/tests/check.rs
@@ -1,6 +1,6 @@
 //! The checker against records made by hand: each breaks one rule, or none.
 use spanlead_standin::check::{Rule, check, check_cold};
-use spanlead_standin::{Deployment, Event, What, classes};
+use spanlead_standin::{Deployment, Event, What};
 use std::time::Duration;
 
 fn ms(at: u64) -> Duration {
@@ -47,7 +47,7 @@
     let listed = ["w00", "w01"].map(|w| (0, What::Lives { scheduler: 0, worker: w.into() }));
     let events: Vec<Event> =
         listed.into_iter().chain(happened).map(|(at, what)| Event { at: ms(at), what }).collect();
-    check(&events, &classes(1.0), ms(750)).into_iter().map(|b| b.rule).collect()
+    check(&events, &Deployment::default_one(Some(1.0))).into_iter().map(|b| b.rule).collect()
 }
 
 #[test]
