See clients leave that sent more than their request, and answer what the last connections bring

Need: a client that closes its connection has gone, no attempt for it begins more than 0.1 s later; what was read has an answer.

Seen, by tests with real connections that fail before this: - A client that had sent bytes behind its request (a pipelined call, or a burst and a close) was not seen to leave: hyper reads no further than the request that it serves once its buffer holds more, and only a read tells of the end. Attempts went on, and first ones began. Now the end is heard from the socket's readiness (Line::departure), whatever is unread before it; a request whose client has left when it is read whole is not taken; one that waited for the ledger to open is looked at again when it is. - A request that had begun to come in before SIGTERM and was whole only when the last connections closed went into an inbox that nobody read: driver.rs had left its loop and waited in Front::close. Its client had no answer within LAST_CLOSE and was cut off. Now the loop goes on until the last connection has closed, and answers it 503 like any other that is too late.

--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -24,8 +24,9 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::futures::Notified;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -99,6 +100,8 @@
     cut: Notify,
     /// It ends as soon as nothing is under way on it and nothing unread.
     ending: AtomicBool,
+    /// The client that waits for an answer has left.
+    left: Notify,
     /// A request has begun to come in.
     begun: Notify,
     /// What its head shows before HTTP has read it.
@@ -144,6 +147,7 @@
             close: Notify::new(),
             cut: Notify::new(),
             ending: AtomicBool::new(false),
+            left: Notify::new(),
             begun: Notify::new(),
             head: Mutex::default(),
         }
@@ -157,6 +161,28 @@
         Ok(socket)
     }
 
+    /// Waits until the client has closed its side, whatever it sent before that is still unread. HTTP would not notice: it reads no
+    /// further than the request that it serves once there is more, and only a read tells it of the end.
+    async fn departure(&self) {
+        // Of urgent data nothing is heard here, so it is the end that makes this ready.
+        let _ = self.socket.ready(Interest::PRIORITY).await;
+    }
+
+    /// Whether it has done so already.
+    async fn departed(&self) -> bool {
+        tokio::select! {
+            biased;
+            () = self.departure() => true,
+            () = std::future::ready(()) => false,
+        }
+    }
+
+    /// Ends the connection of a client that has left, and with it the request that this is called for.
+    async fn forsake(&self) -> ! {
+        self.left.notify_one();
+        std::future::pending().await
+    }
+
     fn released(&self) -> bool {
         self.released.load(Ordering::Relaxed)
     }
@@ -547,27 +573,20 @@
                 // What has begun to come in is still served; the stream tells HTTP of the end when nothing is left.
                 () = line.close.notified() => line.ending.store(true, Ordering::Relaxed),
                 () = line.cut.notified() => if line.released() || !matches!(line.stage(), Stage::Busy) { return false },
+                () = line.left.notified() => return false,
                 () = sleep_until(line.end()) => if line.end() <= Instant::now() { return false },
             }
         }
     }
 
-    /// Closes all connections, idle ones at once, the others with their answer; returns when they are closed or at
-    /// `until`.
-    pub async fn close(&self, until: Instant) {
-        loop {
-            let ended = self.ended.notified();
-            {
-                let lines = lock(&self.lines);
-                if lines.is_empty() {
-                    return;
-                }
-                lines.values().for_each(|l| l.close.notify_one());
-            }
-            if timeout_at(until, ended).await.is_err() {
-                return;
-            }
-        }
+    /// Has all connections closed, idle ones at once, the others with their answer.
+    pub fn close(&self) {
+        lock(&self.lines).values().for_each(|l| l.close.notify_one());
+    }
+
+    /// Waits for a connection to end, from this call on.
+    pub fn one_ended(&self) -> Notified<'_> {
+        self.ended.notified()
     }
 
     /// Closes the connections that wait for nothing.
@@ -620,6 +639,11 @@
         // Its time counts from the last byte.
         job.due += self.clock.now() - arrived;
         busy.line.proven.store(true, Ordering::Relaxed);
+        if busy.line.departed().await {
+            // Nobody waits for it: it is not taken.
+            let _ = self.to.send(Message::Input(Input::TurnedAway { class }));
+            busy.line.forsake().await
+        }
         let parcel = wire::parcel(head, body);
         if self.marks {
             job.mark = Some(wire::mark(&parcel).inspect_err(|_| {
@@ -627,12 +651,16 @@
             })?);
         }
         let ticket = RequestId(self.tickets.fetch_add(1, Ordering::Relaxed));
-        let (reply, answer) = oneshot::channel();
+        let (reply, mut answer) = oneshot::channel();
         let line = busy.line.clone();
         let arrival = Arrival { ticket, job, parcel, line, reply };
         let mut departure = Departure { ticket, to: &self.to, answered: false };
         let _ = self.to.send(Message::Arrival(arrival));
-        let answer = answer.await.unwrap_or(Answer::Failed);
+        let answer = tokio::select! {
+            biased;
+            answer = &mut answer => answer.unwrap_or(Answer::Failed),
+            () = busy.line.departure() => busy.line.forsake().await,
+        };
         departure.answered = true;
         Ok(wire::answer(answer))
     }
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -293,7 +293,18 @@
         let mut stall = tokio::time::interval(STALL_CHECK);
         // It is looked at only while something waits: what was missed till then must not come all at once.
         stall.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.finished() {
+        let front = self.front.clone();
+        // The last connections close while this goes on: what they still bring is answered.
+        let mut closing: Option<Instant> = None;
+        loop {
+            let one_ended = front.one_ended();
+            closing = self.finished().then(|| closing.unwrap_or(Instant::now() + LAST_CLOSE));
+            if let Some(until) = closing {
+                front.close();
+                if front.empty() || Instant::now() >= until {
+                    return;
+                }
+            }
             let timer = self.core.next_timer(self.clock.now()).map(|at| self.clock.instant(at));
             let far = Instant::now() + SWEEP_EVERY;
             tokio::select! {
@@ -306,9 +317,10 @@
                 _ = stall.tick(), if self.ledger.as_ref().is_some_and(|l| !l.gate.is_empty()) => self.too_late(),
                 () = sleep_until(timer.unwrap_or(far)) => self.step(Input::Tick),
                 message = inbox.recv() => if let Some(message) = message { self.receive(message) },
+                () = one_ended, if closing.is_some() => {}
+                () = sleep_until(closing.unwrap_or(far)), if closing.is_some() => {}
             }
         }
-        self.front.close(Instant::now() + LAST_CLOSE).await;
     }
 
     /// The configuration's file was replaced. A faulty one must not stop a scheduler that serves.
@@ -404,7 +416,15 @@
             Message::Ledger(Ok(opened)) => self.opened(*opened),
             Message::Ledger(Err(why)) => self.broken = Some(why),
             Message::Progress(progress) => self.progress(progress),
+            // Its client has left while it waited for the ledger to open. What another process had begun must be ended in order.
+            Message::Arrival(Arrival { job, reply, .. })
+                if reply.is_closed() && !self.adopted.contains_key(&job.id) =>
+            {
+                self.step(Input::TurnedAway { class: job.class });
+            }
             Message::Arrival(Arrival { ticket, mut job, parcel, line, reply }) => {
+                // The departure of one that was adopted may have been told before it was held back for the ledger.
+                let left = reply.is_closed();
                 self.open.insert(ticket, Open { line, reply, parcel: Arc::new(parcel) });
                 let Some((tale, notices)) = self.adopted.remove(&job.id) else {
                     return self.step(Input::Request { ticket, job, tries: None, durable: false });
@@ -415,6 +435,10 @@
                 }
                 self.step(Input::Request { ticket, job, tries: Some(tries), durable });
                 notices.into_iter().for_each(|(notice, heard)| self.heed(notice, heard));
+                if left {
+                    self.open.remove(&ticket);
+                    self.step(Input::ClientLeft { ticket });
+                }
             }
             Message::Adopted { tale, text, socket } => {
                 let id = tale.id.clone();
--- a/crates/spanlead/tests/crossings.rs
+++ b/crates/spanlead/tests/crossings.rs
@@ -64,3 +64,57 @@
     take(other.next());
     assert!(worker.unasked());
 }
+
+// Guards against work for nobody: HTTP reads no further than the request that it serves once there is more, so the end of a client that
+// had sent more was not seen, and attempts for it went on.
+#[test]
+fn a_client_that_sent_more_than_its_request_is_seen_to_leave() {
+    let (scheduler, worker, _discovery) = with_worker();
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 60_000);
+    take(worker.next());
+    client.write("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+    scheduler.client().notice("id-1", "s-a", r#""state":"started""#);
+    drop(client);
+    assert_eq!(worker.next().message.start, "DELETE /jobs/id-1 HTTP/1.1");
+}
+
+// Guards against the same where the client has left before its request was read: it is not taken at all.
+#[test]
+fn a_request_whose_client_left_before_it_was_read_is_not_sent_on() {
+    let (scheduler, worker, _discovery) = with_worker();
+    // It has served one before, so that nothing but the order below is left to chance.
+    let mut client = scheduler.client();
+    client.job("status-check", "id-0", 60_000);
+    take(worker.next());
+    scheduler.pause();
+    let mut gone = scheduler.client();
+    gone.job("status-check", "id-1", 60_000);
+    gone.write("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+    drop(gone);
+    let mut next = scheduler.client();
+    next.job("status-check", "id-2", 60_000);
+    scheduler.resume();
+    assert_eq!(worker.next().message.header("req-id"), Some("id-2"));
+    assert!(worker.unasked());
+}
+
+// Guards a planned restart: a request that had begun to come in before the end was taken when nobody decided any more, and had no answer.
+#[test]
+fn a_request_that_is_whole_only_when_the_last_connections_close_is_answered() {
+    let (mut scheduler, worker, _discovery) = with_worker();
+    let (mut half, mut idle) = (scheduler.client(), scheduler.client());
+    half.write(
+        "POST /status-check/x HTTP/1.1\r\nHost: backend.local\r\nReq-Id: id-1\r\nReq-Owner: norrtrim\r\n",
+    );
+    // This answer shows that the half has been read.
+    assert!(scheduler.health().contains("200"));
+    scheduler.terminate();
+    assert!(idle.closed());
+    half.write("Req-Deadline-Ms: 9000\r\nIdempotency-Key: k\r\nContent-Length: 7\r\n\r\npayload");
+    let answer = half.answer();
+    assert_eq!(answer.start, "HTTP/1.1 503 Service Unavailable");
+    assert!(half.ended_in_order());
+    assert!(scheduler.wait().success());
+    assert!(worker.unasked());
+}
--- a/crates/spanlead/tests/harness/mod.rs
+++ b/crates/spanlead/tests/harness/mod.rs
@@ -391,6 +391,16 @@
         self.signal(Signal::TERM);
     }
 
+    /// Stops it where it is: what comes waits in its sockets.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).expect("it runs");
     }
