Count the time that a connection may take against drain grace and window of repeats

Need: nothing new to a worker past the grace after it was told to drain; repeats only within the class's window. What is decided now is sent when a descriptor is free and its connection is up, which the settings let take long.

Seen, by tests that fail before this: with all descriptors for workers in use, a drain grace of 200 ms and a longer time for connections, a job that waited for a descriptor was sent to its worker 400 ms after that was told to drain (crossings.rs, real connections; the pool's connect_anew took the whole connectTimeout). In the module a keyed job whose first attempt may have run was sent again up to the window's last nanosecond, its connection then up to connectTimeout later (choice.rs, Job::permit). Ruled out: a connection that comes up after 1 s or more brings no job: attempts that are not taken within 1 s are called off.

Now the pool waits for descriptor and connection no longer than the grace (50 ms, the protocol's slack, where that is less), and a repeat has to fit in with its connection's whole time. The module's checker in tests asks for the same.

--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -138,7 +138,8 @@
                     Scope::Zone => first.zone == worker.zone,
                     Scope::Cell => first.cell == worker.cell,
                 };
-                same && now < t.sent + ttl
+                // Guards the window's end: the connection may take its whole time to come up, and the send is then.
+                same && now + set.limits.connect_timeout < t.sent + ttl
             }),
         };
         fits.then_some(Permit(to))
--- a/crates/oatdock/tests/behaviour.rs
+++ b/crates/oatdock/tests/behaviour.rs
@@ -115,6 +115,20 @@
     assert_eq!(world.sends(2).len(), 1, "its time is over");
 }
 
+/// The window counts to the send, and the connection that it waits for may take its whole time to come up.
+#[test]
+fn a_keyed_request_is_sent_again_only_if_its_connection_comes_up_within_its_time() {
+    for (after, sends) in [(40 * MS, 2), (60 * MS, 1)] {
+        let mut world = World::new(settings(Effect::Keyed { scope: Scope::All, ttl: 300 * MS }), 5);
+        world.ready(4);
+        world.ask(request(1, 2 * SEC));
+        world.now += after;
+        world.end(1, 0, Outcome::Reset);
+        world.pass(SEC, true);
+        assert_eq!(world.sends(1).len(), sends, "reset after {after}");
+    }
+}
+
 #[test]
 fn attempts_are_counted() {
     let mut world = World::new(settings(Effect::Safe), 5);
--- a/crates/oatdock/tests/common/mod.rs
+++ b/crates/oatdock/tests/common/mod.rs
@@ -89,7 +89,8 @@
                                 Scope::Zone => first.zone == member.zone,
                                 Scope::Cell => first.cell == member.cell,
                             };
-                            if !same || now > a.sent + ttl {
+                            // The connection may take its whole time to come up before the send.
+                            if !same || now + self.set.limits.connect_timeout > a.sent + ttl {
                                 return Err("rule 2: a keyed request left its group or time".into());
                             }
                         }
--- a/crates/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -26,6 +26,8 @@
 /// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
 /// output, discovery, peers, and some to spare.
 const OTHER_SOCKETS: usize = 32;
+/// The slack that the protocol gives each time limit on sockets, nanoseconds.
+const SLACK: Nanos = 50_000_000;
 /// What a client's connection may hold at the most: its buffer, a body, and what is kept beside them.
 const CLIENT_MEMORY: usize = MAX_HEAD + wire::MAX_BODY + 16 * 1024;
 
@@ -295,7 +297,10 @@
         Tuning {
             keep: Duration::from_nanos(keep),
             reuse,
-            connect_wait: Duration::from_nanos(settings.limits.connect_timeout),
+            // What is decided now is sent when its connection is up, and its worker may be told to drain in between.
+            connect_wait: Duration::from_nanos(
+                settings.limits.connect_timeout.min(settings.rules.drain_grace.max(SLACK)),
+            ),
             reports: self.deployment.reports,
         }
     }
--- a/crates/spanlead/tests/crossings.rs
+++ b/crates/spanlead/tests/crossings.rs
@@ -2,7 +2,10 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{Call, Scheduler, Server};
+use harness::{Call, Client, Scheduler, Server};
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// A change counts as told so long after discovery had it and could be reached.
@@ -118,3 +121,60 @@
     assert!(scheduler.wait().success());
     assert!(worker.unasked());
 }
+
+// Guards the grace for drains: a send waits for a descriptor, and for its connection, no longer than a worker that is told to drain meanwhile
+// may still be sent to.
+#[test]
+fn a_job_that_waits_for_a_connection_past_the_grace_for_drains_is_not_sent() {
+    let (discovery, worker) = (Server::start(), Server::start());
+    // Five connections to workers at a time.
+    let edits = [
+        (r#""sockets":128"#, r#""sockets":64"#),
+        (r#""connectTimeout":250000000"#, r#""connectTimeout":5000000000"#),
+        (r#""drainGrace":750000000"#, r#""drainGrace":200000000"#),
+    ];
+    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], &edits);
+    let mut clients: Vec<Client> = (0..6).map(|_| scheduler.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.job("status-check", &format!("id-{n}"), 15_000);
+    }
+    let mut held: Vec<Call> = (0..5).map(|_| worker.next()).collect();
+    assert!(worker.unasked());
+    discovery.next().reply("200 OK", "", &list(42, &worker.entry("s-a", "leaving")));
+    // The news has been read when the next call comes; then the grace passes, and a connection comes free.
+    discovery.next();
+    thread::sleep(Duration::from_millis(400));
+    let sent: Vec<String> =
+        held.iter().filter_map(|c| c.message.header("req-id").map(str::to_owned)).collect();
+    take(held.remove(0));
+    let waits = (0..6).find(|n| !sent.contains(&format!("id-{n}"))).expect("one waits");
+    assert_eq!(clients[waits].answer().start, "HTTP/1.1 503 Service Unavailable");
+    assert!(worker.unasked());
+}
+
+// Guards discovery's share of the descriptors: clients fill all that they can get and rest, while discovery can't be reached.
+#[test]
+fn clients_that_fill_the_descriptors_while_discovery_is_down_shut_nobody_out() {
+    let (scheduler, worker, discovery) = with_worker();
+    let other = Server::start();
+    discovery.next().hang_up();
+    let mut idle: Vec<TcpStream> = Vec::new();
+    for _ in 0..160 {
+        let mut stream = TcpStream::connect(scheduler.addr).expect("it listens");
+        // Every other one is proven by an answer, and rests then.
+        if idle.len() % 2 == 0 {
+            let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+        }
+        idle.push(stream);
+    }
+    let news = [worker.entry("s-a", "leaving"), other.entry("s-b", "active")].join(",");
+    discovery.next().reply("200 OK", "", &list(43, &news));
+    discovery.next();
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 15_000);
+    take(other.next());
+    scheduler.client().notice("id-1", "s-b", r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+    assert!(worker.unasked());
+    drop(idle);
+}
