Keep a crowd of jobs at all schedulers within what a fresh worker bears

Need: beyond the budget of N calls only 2 x root of N + 2 is chance, at twenty and thirty processes too.

Seen, by two tests of the module that fail before this (crates/oatdock/tests/fleet.rs): - Thirty dispatchers that rested for 30 s, eight jobs to each: 150 jobs to the fresh worker in one window, 20.2 at the most. A part of the budget is raised over the chance that the worker is looked at in a window (walk.rs, draw), and after a rest that chance was taken from a rate of looks that had faded to 1e-3 a second: the part was raised some thousandfold. Now what is looked at for the job at hand counts as looked at, whatever the rate. - Jobs that wait had each drawn the worker while its budget stood, and all were sent once its probe came back: the budget was asked at the draw (Scene::eligible), not at the send (bind). Now at both, by one function (Worker::within_budget). The stand-in platform's checker goes by 2 root of N + 2 (3 and 3 before) in every trial.

--- a/crates/oatdock/src/choice/walk.rs
+++ b/crates/oatdock/src/choice/walk.rs
@@ -183,8 +183,10 @@
         // The chance that a worker is looked at in a window, walkers standing anywhere: its share of the
         // windows that nobody looks in would be lost, and with few requests to a scheduler those are nearly
         // all. A key's own places are looked at far oftener, so there the share is not raised.
-        let seen = 1.0 - (-scene.looks.at(now).max(1e-3) * window_s / n as f64).exp();
-        scene.share /= seen;
+        // Guards the sum after a rest: what is looked at for this job counts as looked at, else the part of one
+        // that has rested is raised without bound, and a crowd of jobs at all of them takes all these parts.
+        let looks = scene.looks.at(now).max((WALKERS + WARM) as f64 / Rate::SPAN_S);
+        scene.share /= 1.0 - (-looks * window_s / n as f64).exp();
         // The workers heard of last stand beside the walkers' places: a slot just came back there and a
         // connection is open. This is the memory that the paper names among the variants of its scheme.
         for &w in self.warm.iter().rev() {
@@ -253,6 +255,10 @@
             if worker.ejected_until > now && !self.panic() {
                 continue;
             }
+            // Guards a fresh worker: many jobs may have drawn it before the first of them went there.
+            if !worker.within_budget(&self.set.rules, now) {
+                continue;
+            }
             let Some(permit) = job.permit(&self.set, &self.workers, w, now) else { continue };
             let home = job.candidates.first() == Some(&w);
             let fetch = !home && job.req.key.is_some_and(|k| !self.keeps(k, w, now));
@@ -410,6 +416,6 @@
             worker.window_left = worker.window_left.min(0.0) + granted;
             worker.window_end = now + rules.tip_after;
         }
-        worker.window_left > 0.0
+        worker.within_budget(rules, now)
     }
 }
--- a/crates/oatdock/src/rate.rs
+++ b/crates/oatdock/src/rate.rs
@@ -10,7 +10,7 @@
 }
 
 impl Rate {
-    const SPAN_S: f64 = 5.0;
+    pub const SPAN_S: f64 = 5.0;
 
     /// The rate now, events a second.
     pub fn at(&self, now: Nanos) -> f64 {
--- a/crates/oatdock/src/worker.rs
+++ b/crates/oatdock/src/worker.rs
@@ -109,6 +109,11 @@
         (rules.cold_from + (1.0 - rules.cold_from) * part).min(1.0)
     }
 
+    /// Whether the budget of its slow start lets it have another job now.
+    pub fn within_budget(&self, rules: &Rules, now: Nanos) -> bool {
+        self.ramp(rules, now) >= 1.0 || now < self.window_end && self.window_left > 0.0
+    }
+
     /// Own slots that a report does not show yet, or still shows though they are back.
     pub fn recent(&self, now: Nanos, span: f64) -> f64 {
         (self.own - self.smooth) * (-((now - self.smooth_at) as f64) / span).exp()
--- a/crates/oatdock/tests/fleet.rs
+++ b/crates/oatdock/tests/fleet.rs
@@ -218,3 +218,71 @@
         }
     }
 }
+
+/// What thirty dispatchers that have served for a while and rested so long before and after they are told of a fresh worker send it in a
+/// window of its budget, when eight jobs come to each, the other workers are full, and its probes show four free slots to all.
+fn sent_by_thirty(before: Nanos, after: Nanos) -> usize {
+    const THIRTY: u64 = 30;
+    let mut set = Settings { instances: THIRTY as u32, ..large() };
+    set.limits.probes = true;
+    set.reports = ReportVia::Answers;
+    let report = |free| Some(Report { free_slots: Some(free), ..Report::default() });
+    let mut sent = 0;
+    for seed in 0..THIRTY {
+        let mut world = World::new(set.clone(), seed);
+        known(&mut world, 3);
+        // Jobs run for a second each, four at a time in a worker.
+        for id in 0..6 {
+            world.ask(request(id, 4 * SEC));
+            world.pass(SEC, true);
+            world.end(id, 0, Outcome::Ok);
+        }
+        world.pass(before, false);
+        for worker in ["w0", "w1", "w2"] {
+            world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report: report(0.0) });
+        }
+        let started = Some(world.now);
+        let entries: Vec<Entry<'_>> = ["w0", "w1", "w2"].map(|w| Entry::new(w, WorkerState::Ready)).into();
+        let fresh = [Entry { started, ..Entry::new("w9", WorkerState::Ready) }];
+        world.list(ListScope::Full, &[&entries[..], &fresh].concat());
+        world.pass(after, false);
+        for id in 100..108 {
+            world.ask(request(id, 4 * SEC));
+        }
+        for _ in 0..20 {
+            for worker in ["w0", "w1", "w2", "w9"] {
+                let free = if worker == "w9" { 4.0 } else { 0.0 };
+                world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report: report(free) });
+            }
+            world.pass(100 * MS, false);
+        }
+        sent += (100..108).flat_map(|id| world.sends(id)).filter(|to| to == "w9").count();
+    }
+    sent
+}
+
+/// A warm worker does 8 jobs in the window of 2 s, a fresh one 0.3 of them at first and all after 8 s: three times what it does at the window's
+/// end is its budget, and twice the root of that and two more are chance.
+fn bears(after: Nanos) -> f64 {
+    let ramp = 0.3 + 0.7 * (after + 2 * SEC) as f64 / (8 * SEC) as f64;
+    let budget = 3.0 * 8.0 * ramp;
+    budget + 2.0 * budget.sqrt() + 2.0
+}
+
+/// Each of the jobs that wait has drawn the fresh worker before the first of them goes there.
+#[test]
+fn jobs_that_wait_for_the_same_fresh_worker_keep_to_its_budget_together() {
+    let (sent, most) = (sent_by_thirty(0, 0), bears(0));
+    assert!(sent > 0 && (sent as f64) <= most, "{sent} jobs to the fresh worker, {most:.1} at the most");
+}
+
+/// A dispatcher that has rested expects to look at a worker hardly ever, and has its part of the budget raised for that. When jobs come to all
+/// in the same moment, each raised part would be taken.
+#[test]
+fn dispatchers_that_have_rested_keep_to_the_budget_of_a_fresh_worker_together() {
+    for (before, after) in [(5, 0), (30, 0), (120, 0), (0, 3), (30, 3), (30, 5)] {
+        let (sent, most) = (sent_by_thirty(before * SEC, after * SEC), bears(after * SEC));
+        let rested = format!("rested {before} s before and {after} s after");
+        assert!(sent > 0 && (sent as f64) <= most, "{rested}: {sent} jobs, {most:.1} at the most");
+    }
+}
--- a/crates/spanlead/tests/crossings.rs
+++ b/crates/spanlead/tests/crossings.rs
@@ -162,7 +162,7 @@
     for _ in 0..160 {
         let mut stream = TcpStream::connect(scheduler.addr).expect("it listens");
         // Every other one is proven by an answer, and rests then.
-        if idle.len() % 2 == 0 {
+        if idle.len().is_multiple_of(2) {
             let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n");
         }
         idle.push(stream);
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -228,8 +228,8 @@
 }
 
 /// Whether workers that had just started were sent more, by all schedulers together, than the deployment's rule lets them bear: within
-/// `tip` more than `tip_multiple` times the jobs of mean length that they do at their capacity of then, N, and for chance three times
-/// the root of N and three jobs.
+/// `tip` more than `tip_multiple` times the jobs of mean length that they do at their capacity of then, N, and for chance twice
+/// the root of N and two jobs.
 pub fn check_cold(events: &[Event], deployment: &Deployment) -> Vec<Broken> {
     let d = deployment;
     let shares: f64 = d.classes.iter().map(|c| c.share).sum();
@@ -253,7 +253,7 @@
             // A hundred steps of the window are near enough to the integral.
             let bears: f64 = (0..100).map(|s| ramp(begun + tip * (f64::from(s) + 0.5) / 100.0) / 100.0).sum();
             let most = d.tip_multiple * rate * tip * bears;
-            if count > most + 3.0 * most.sqrt() + 3.0 {
+            if count > most + 2.0 * most.sqrt() + 2.0 {
                 let what = format!(
                     "{worker} got {count} in {tip} s, {begun:.1} s after its start, and bears {most:.0}"
                 );
