--- a/crates/spanlead/tests/slow_start.rs
+++ b/crates/spanlead/tests/slow_start.rs
@@ -12,10 +12,11 @@
 /// The worker that is killed and comes back cold.
 const FRESH: &str = "w00";
 
-/// Jobs of a third of a second, and a rule that binds: a fresh worker does an eighth of what a warm one does, for half of the test.
+/// Jobs of a third of a second, and a rule that binds: a fresh worker does an eighth of what a warm one does, and little more to the test's
+/// end.
 fn deployment() -> Deployment {
     Deployment {
-        cold: Duration::from_secs(8),
+        cold: Duration::from_secs(24),
         cold_from: 0.12,
         tip: Duration::from_millis(1500),
         doubled: 0.0,
@@ -94,12 +95,13 @@
         rig.fleet.restart(FRESH).await.expect("an address");
         told_to_all(&rig).await;
         if restarted {
-            // Schedulers that start within its slow start know nothing of what was sent before.
+            // Schedulers that start within its slow start know nothing of what was sent before. By a few jobs they learn how long these run.
             jobs(&rig, 1, 100.0, 10_000).await;
             for scheduler in &mut rig.schedulers {
                 scheduler.kill().await;
                 scheduler.start().await.expect("it starts");
             }
+            jobs(&rig, 3, 3.0, 15_000).await;
         }
         jobs(&rig, 6, 1000.0, 20_000).await;
         assert!(got(&rig) > 0, "it is given nothing at all");
