Ask discovery no more often than it bears, still within 6 s, and open silent watches anew at once

Lines: WAIT and LATE in net/discovery.rs, BACK_OFF in choice/lists.rs. Discovery works through calls that nobody waits for any more, so giving up early makes it worse.

Now calls wait 4 s as before, one that does not wait has 2 s as before, the back-off ends at 2.75 s, the first call comes within 3.75 s. The 6 s are kept by opening a watch that has fallen silent anew at once instead of after a back-off: 4 + 0.75 + 1.

--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -13,13 +13,16 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-/// How long one call of the watch waits for news. A change counts as told 6 s after discovery had it, so what a watch that has fallen
-/// silent may cost must fit in there: this wait, [`LATE`], the module's first back-off (0.75 s at most), and the answer to the
-/// call that follows ([`LATE`] again): 4.75 s. `docs/design/crossings.md` adds up the other paths.
-const WAIT: Duration = Duration::from_secs(2);
-/// How much later than that the answer may come; discovery works through its calls one by one. The latest that 300 schedulers
-/// were answered was 0.27 s.
-const LATE: Duration = Duration::from_secs(1);
+/// How long one call of the watch waits for news. Shorter ones are too many for a discovery that works through its calls one by one: at 2 s
+/// those of a hundred schedulers were more than it bore, and it never recovered.
+const WAIT: Duration = Duration::from_secs(4);
+/// How much later than that the answer may come. The latest that 300 schedulers were answered was 0.27 s. A change counts as told 6 s after
+/// discovery had it: this, [`WAIT`] and 1 s for the answer to the call that opens a silent watch anew are 5.75 s.
+/// `docs/design/crossings.md` adds up the other paths.
+const LATE: Duration = Duration::from_millis(750);
+/// How long a call that does not wait may take. Given up sooner, calls that discovery was about to answer come again, and it works
+/// through those that nobody waits for as well.
+const ANSWER: Duration = Duration::from_secs(2);
 /// The least time between two calls without news: well under the 200 ms after which a call begins another watch, and under any
 /// grace for drains. An agent that lists are pushed to may answer every call at once.
 const PACE: Duration = Duration::from_millis(50);
@@ -58,12 +61,20 @@
         let mut connection = None;
         loop {
             let begun = Instant::now();
-            let until = begun + wait + LATE;
+            let until = begun + if wait.is_zero() { ANSWER } else { wait + LATE };
             let call = match whole {
                 true => wire::whole_list(),
                 false => wire::watch(self.version, wait.as_millis() as u64),
             };
-            let Some(list) = self.call(&mut connection, call, until).await else { break };
+            let Some(list) = self.call(&mut connection, call, until).await else {
+                // A watch that has fallen silent may be the only one that has, and what it misses soon counts as told.
+                if !wait.is_zero() && Instant::now() >= until {
+                    tracing::info!(version = self.version, "a watch of discovery has fallen silent");
+                    (wait, whole) = (Duration::ZERO, false);
+                    continue;
+                }
+                break;
+            };
             // A service that counts anew can't tell what was missed since another's version: ask for all.
             if list.seq < self.version && !list.whole {
                 (whole, wait) = (true, Duration::ZERO);
@@ -84,7 +95,7 @@
 
     /// Asks for the whole list once.
     pub async fn fetch(mut self) {
-        match self.call(&mut None, wire::whole_list(), Instant::now() + LATE).await {
+        match self.call(&mut None, wire::whole_list(), Instant::now() + ANSWER).await {
             Some(list) => {
                 self.version = list.seq;
                 self.tell(ListScope::Full, list.hosts);
--- a/crates/oatdock/src/choice/lists.rs
+++ b/crates/oatdock/src/choice/lists.rs
@@ -2,11 +2,11 @@
 use super::*;
 
 /// A change counts as told 6 s after discovery had it and could be reached, whatever failed before. So dispatchers
-/// that start make their first call within this time, and after failed calls the mean back-off ends here: by
-/// chance it is half as long again, and a call that was out when discovery came back, and the one that
-/// follows, take 1 s each.
-const FIRST_CALL: Nanos = 2 * SEC;
-const BACK_OFF: Nanos = 7 * SEC / 4;
+/// that start make their first call within this time, and after failed calls the longest back-off ends here: a
+/// call that was out when discovery came back takes 2 s, and the one that follows 1 s. As long as that allows,
+/// since discovery works through its calls one by one.
+const FIRST_CALL: Nanos = 15 * SEC / 4;
+const BACK_OFF: Nanos = 11 * SEC / 4;
 
 impl Dispatcher {
     pub(super) fn members(
@@ -89,7 +89,7 @@
                 self.asking = false;
                 self.ask_failures = (self.ask_failures + 1).min(4);
                 let wait = ((SEC / 4) << self.ask_failures).min(every).min(BACK_OFF) as f64;
-                let after = (wait * (0.5 + unit(&mut self.rng))) as Nanos;
+                let after = (wait * (0.75 + unit(&mut self.rng) / 4.0)) as Nanos;
                 out.push(Action::Timer { after, token: Alarm::Discovery as u64 });
             }
             ListScope::Changes | ListScope::Full => {
