Count what comes in and can't be used, by reason

Need: malformed requests, notices and lists are refused or dropped, counted by reason, never held against the next. They were refused, and only jobs with a readable class showed in the figures, as failed.

Now the reducer counts reasons (Input::BadInput), a fixed few; `/ops/stats` shows them as `bad_input`, and nothing while there are none. Told by the front (every 4xx, notices that are none, what is not HTTP) and by discovery (an answer that is no list). Not counted: answers of workers that can't be read; they end their attempt as before. A new test sends each kind and then has the next notice, list and job taken.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -144,6 +144,8 @@
     written: u64,
     reloads: u64,
     reload_errors: u64,
+    /// What could not be used, by reason; the reasons are a fixed few.
+    bad_input: BTreeMap<&'static str, u64>,
 }
 
 impl Core {
@@ -193,6 +195,7 @@
             written: 0,
             reloads: 0,
             reload_errors: 0,
+            bad_input: BTreeMap::new(),
         })
     }
 
@@ -238,6 +241,7 @@
             members_unavailable: members().filter(avoided).count(),
             config_reloads: self.reloads,
             config_reload_errors: self.reload_errors,
+            bad_input: self.bad_input.clone(),
             ledger: self.durable.as_ref().map(Durable::figures),
             facts: self.fact_figures(now),
             membership: self.membership.as_ref().map(|m| m.members.figures()),
@@ -357,6 +361,7 @@
             }
             Input::Share { open, successor } => (self.max_open, self.successor) = (open, successor),
             Input::TurnedAway { class } => self.count(class, &Answer::Failed),
+            Input::BadInput { why } => *self.bad_input.entry(why).or_default() += 1,
             Input::HandOver => self.hand_over(now, out),
             Input::Written => self.written += 1,
             Input::Unreadable => self.reload_errors += 1,
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -196,6 +196,10 @@
     TurnedAway {
         class: u32,
     },
+    /// Something came in that can't be used, and why: from a client, a worker or discovery. It was refused or dropped.
+    BadInput {
+        why: &'static str,
+    },
     /// The last byte of an attempt has been written to its worker.
     Written,
     /// The configuration's file could not be used.
@@ -274,6 +278,9 @@
     /// Configuration files taken, and turned down, at SIGHUP.
     pub config_reloads: u64,
     pub config_reload_errors: u64,
+    /// What came in and could not be used, by reason.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub bad_input: BTreeMap<&'static str, u64>,
     /// The ledger, where there is one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ledger: Option<LedgerFigures>,
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -571,7 +571,12 @@
         );
         loop {
             tokio::select! {
-                _ = connection.as_mut() => return true,
+                end = connection.as_mut() => {
+                    if end.is_err_and(|e| e.is_parse()) {
+                        self.bad_input("not HTTP");
+                    }
+                    return true;
+                }
                 () = line.begun.notified() => {}
                 // What has begun to come in is still served; the stream tells HTTP of the end when nothing is left.
                 () = line.close.notified() => line.ending.store(true, Ordering::Relaxed),
@@ -603,21 +608,34 @@
     async fn respond(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Response<Body> {
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         if chunked && (busy.head.names_length || !busy.head.whole) {
-            return wire::rejection(Rejected(StatusCode::BAD_REQUEST, "a body's length is told in two ways"));
+            return self.reject(Rejected(StatusCode::BAD_REQUEST, "a body's length is told in two ways"));
         }
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEALTH) => match self.ready.load(Ordering::Relaxed) {
                 true => wire::plain(StatusCode::OK, "ready\n"),
                 false => wire::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
-            (&Method::POST, CALLBACK) => self.notice(request, busy).await.unwrap_or_else(wire::rejection),
-            _ => self.job(request, busy).await.unwrap_or_else(wire::rejection),
+            (&Method::POST, CALLBACK) => self.notice(request, busy).await.unwrap_or_else(|r| self.reject(r)),
+            _ => self.job(request, busy).await.unwrap_or_else(|r| self.reject(r)),
         }
     }
 
+    /// Turns a request down; what is wrong with it is counted.
+    fn reject(&self, rejected: Rejected) -> Response<Body> {
+        if rejected.0.is_client_error() {
+            self.bad_input(rejected.1);
+        }
+        wire::rejection(rejected)
+    }
+
+    fn bad_input(&self, why: &'static str) {
+        let _ = self.to.send(Message::Input(Input::BadInput { why }));
+    }
+
     async fn notice(&self, request: Request<Incoming>, busy: &Busy<'_>) -> Result<Response<Body>, Rejected> {
         let body = busy.read(request.into_body()).await?;
         let Some(notice) = Notice::read(&body) else {
+            self.bad_input("not a notice");
             return Ok(wire::plain(StatusCode::BAD_REQUEST, "not a notice\n"));
         };
         busy.line.proven.store(true, Ordering::Relaxed);
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -120,10 +120,14 @@
             return None;
         }
         let names = self.names.borrow().clone();
-        if body.len() <= LARGE {
-            return Answer::read(&body, &names);
+        let answer = match body.len() <= LARGE {
+            true => Answer::read(&body, &names),
+            false => tokio::task::spawn_blocking(move || Answer::read(&body, &names)).await.ok()?,
+        };
+        if answer.is_none() {
+            let _ = self.to.send(Message::Input(Input::BadInput { why: "not a list" }));
         }
-        tokio::task::spawn_blocking(move || Answer::read(&body, &names)).await.ok()?
+        answer
     }
 
     fn tell(&self, scope: ListScope, hosts: Vec<Host>) {
--- a/crates/spanlead/tests/serve.rs
+++ b/crates/spanlead/tests/serve.rs
@@ -123,6 +123,37 @@
     assert_eq!(scheduler.health(), "HTTP/1.1 200 OK");
 }
 
+// What comes in and can't be used is counted by its reason, and held against nobody: the next request, notice and list are taken.
+#[test]
+fn what_can_t_be_used_is_counted_by_reason() {
+    let (scheduler, worker, discovery) = with_worker();
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 60_000);
+    take(worker.next());
+    let mut bad = scheduler.client();
+    bad.post("/callback", "", r#"{"id":"id-1","from":"s-a","state":"dancing"}"#);
+    assert_eq!(bad.answer().start, "HTTP/1.1 400 Bad Request");
+    for text in
+        ["\0\u{1}\u{2}\r\n\r\n", "POST /status-check HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"]
+    {
+        let mut bad = scheduler.client();
+        bad.write(text);
+        assert_eq!(bad.answer().start, "HTTP/1.1 400 Bad Request");
+    }
+    let mut bad = scheduler.client();
+    bad.post("/nothing", "", "");
+    assert_eq!(bad.answer().start, "HTTP/1.1 404 Not Found");
+    // The watch that stands, and the one that is opened after that.
+    discovery.next().reply("200 OK", "", r#"{"seq":43,"whole":false,"hosts":[{"host":7}]}"#);
+    discovery.next().reply("200 OK", "", r#"{"seq":43,"whole":false,"hosts":[]}"#);
+    discovery.next();
+    scheduler.client().notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+    let stats = scheduler.operate("GET /ops/stats");
+    let counted = stats.split_once(r#""bad_input":"#).map_or("none", |(_, rest)| rest.trim_end());
+    assert_eq!(counted, r#"{"not HTTP":2,"not a list":1,"not a notice":1,"unknown class":1}}"#);
+}
+
 /// A good head, but for what says how long the body is.
 fn head(id: &str, deadline_ms: u64) -> String {
     format!(
@@ -702,7 +733,7 @@
     200 {"downstream_requests":{"guest-visit":{"completed":0,"rejected":0,"failed":1},
     "once":{"completed":1,"rejected":0,"failed":0},
     "status-check":{"completed":0,"rejected":0,"failed":0}},
-    "upstream_requests":2,"pending":1,"members":2,"members_unavailable":1,"config_reloads":0,"config_reload_errors":0}
+    "upstream_requests":2,"pending":1,"members":2,"members_unavailable":1,"config_reloads":0,"config_reload_errors":0,"bad_input":{"Req-Id is not a plain word":1}}
     "#);
     call.reply("500 Internal Server Error", "", "");
     open.answer();
@@ -713,7 +744,7 @@
     200 {"downstream_requests":{"guest-visit":{"completed":0,"rejected":0,"failed":1},
     "once":{"completed":1,"rejected":0,"failed":1},
     "status-check":{"completed":0,"rejected":1,"failed":0}},
-    "upstream_requests":3,"pending":0,"members":2,"members_unavailable":1,"config_reloads":0,"config_reload_errors":0}
+    "upstream_requests":3,"pending":0,"members":2,"members_unavailable":1,"config_reloads":0,"config_reload_errors":0,"bad_input":{"Req-Id is not a plain word":1}}
     "#);
 }
 
@@ -884,7 +915,7 @@
     "guest-visit":{"completed":0,"rejected":0,"failed":1},
     "once":{"completed":0,"rejected":0,"failed":0},
     "status-check":{"completed":1,"rejected":0,"failed":1}},
-    "upstream_requests":4,"pending":0,"members":2,"members_unavailable":0,"config_reloads":1,"config_reload_errors":0}
+    "upstream_requests":4,"pending":0,"members":2,"members_unavailable":0,"config_reloads":1,"config_reload_errors":0,"bad_input":{"Req-Id is not a plain word":1,"unknown class":1}}
     "#);
 }
 
