--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -138,7 +138,7 @@
                     Scope::Zone => first.zone == worker.zone,
                     Scope::Cell => first.cell == worker.cell,
                 };
-                // Guards the window's end: the connection may take its whole time to come up, and the send is then.
+                // Guards the window's end: the connection may take its whole time to come up before the send.
                 same && now + set.limits.connect_timeout < t.sent + ttl
             }),
         };
