--- a/crates/oatdock/src/choice/lists.rs
+++ b/crates/oatdock/src/choice/lists.rs
@@ -1,10 +1,10 @@
 //! The list of workers: what it says, and when it is asked for.
 use super::*;
 
-/// A change counts as told 6 s after discovery had it and could be reached, whatever failed before. So dispatchers
-/// that start make their first call within this time, and after failed calls the longest back-off ends here: a
-/// call that was out when discovery came back takes 2 s, and the one that follows 1 s. As long as that allows,
-/// since discovery works through its calls one by one.
+/// A change counts as told 6 s after discovery had it and could be reached, whatever failed before. So those
+/// that start make their first call within this time, and after failed calls the longest back-off ends here:
+/// a call that was out when discovery came back takes 2 s, and the one that follows 1 s. As long as that
+/// allows, since discovery works through its calls one by one.
 const FIRST_CALL: Nanos = 15 * SEC / 4;
 const BACK_OFF: Nanos = 11 * SEC / 4;
 
--- a/crates/oatdock/src/choice/walk.rs
+++ b/crates/oatdock/src/choice/walk.rs
@@ -183,8 +183,8 @@
         // The chance that a worker is looked at in a window, walkers standing anywhere: its share of the
         // windows that nobody looks in would be lost, and with few requests to a scheduler those are nearly
         // all. A key's own places are looked at far oftener, so there the share is not raised.
-        // Guards the sum after a rest: what is looked at for this job counts as looked at, else the part of one
-        // that has rested is raised without bound, and a crowd of jobs at all of them takes all these parts.
+        // Guards the sum after a rest: what is looked at for this job counts as looked at, else the part of
+        // one that has rested is raised without bound, and a crowd of jobs at all takes all these parts.
         let looks = scene.looks.at(now).max((WALKERS + WARM) as f64 / Rate::SPAN_S);
         scene.share /= 1.0 - (-looks * window_s / n as f64).exp();
         // The workers heard of last stand beside the walkers' places: a slot just came back there and a
