Test that a job that may never run twice is not sent again after a reset at any byte

Need: unsafe classes over resets at every byte. No fault was found: what a worker had read when it reset the connection is not asked, since the last byte had left here. The test resets after each of an attempt's bytes; with every broken exchange taken for one that never ran it fails at the first.

--- a/crates/spanlead/tests/crossings.rs
+++ b/crates/spanlead/tests/crossings.rs
@@ -3,8 +3,13 @@
 mod harness;
 
 use harness::{Call, Client, Scheduler, Server, folder};
-use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use rustix::net::sockopt::set_socket_linger;
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -263,3 +268,69 @@
     assert!(scheduler.health().contains("200"));
     assert!(back.elapsed() < Duration::from_secs(5), "ready after {:?}", back.elapsed());
 }
+
+/// A worker that reads so many bytes of a job's first attempt and resets the connection; any further attempt of it is declined, and told of.
+fn resetting(read: Arc<AtomicUsize>, seen: Arc<Mutex<HashSet<String>>>, again: Sender<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            // Looked at, not read: what is read decides what the system tells of the reset.
+            let mut text = vec![0; 4096];
+            let whole = |text: &[u8]| text.windows(11).any(|w| w == b"\r\n\r\npayload");
+            let mut n = 0;
+            while !whole(&text[..n]) {
+                n = stream.peek(&mut text).expect("a job comes whole");
+            }
+            let head = String::from_utf8_lossy(&text[..n]).to_lowercase();
+            let id = head.split("req-id: ").nth(1).and_then(|t| t.lines().next()).expect("an id").to_owned();
+            if seen.lock().expect("whole").insert(id.clone()) {
+                let mut part = vec![0; read.load(Ordering::Relaxed).min(n)];
+                stream.read_exact(&mut part).expect("it is there");
+                set_socket_linger(&stream, Some(Duration::ZERO)).expect("a socket");
+                read.store(n, Ordering::Relaxed);
+            } else {
+                stream.read_exact(&mut text[..n]).expect("it is there");
+                let _ = stream.write_all(
+                    b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+                );
+                again.send(id).expect("the test listens");
+            }
+        }
+    });
+    addr
+}
+
+// Guards a class that may never run twice: whatever a worker had read of it when it reset the connection, its last byte had left here, so it
+// may have run and is not sent again.
+#[test]
+fn an_unsafe_job_is_not_sent_again_after_a_reset_at_any_byte() {
+    let discovery = Server::start();
+    let (read, seen) = (Arc::new(AtomicUsize::new(usize::MAX)), Arc::new(Mutex::new(HashSet::new())));
+    let (to, again) = channel();
+    let stand_in = Server::start();
+    let entries: Vec<String> = ["s-a", "s-b"]
+        .iter()
+        .map(|name| {
+            let addr = resetting(read.clone(), seen.clone(), to.clone());
+            stand_in.entry(name, "active").replace(&stand_in.addr.to_string(), &addr.to_string())
+        })
+        .collect();
+    let scheduler = Scheduler::start(discovery.addr, &entries, &[]);
+    let mut client = scheduler.client();
+    // The first tells how long an attempt is; then resets at every byte.
+    client.job("once", "id-whole", 15_000);
+    assert_eq!(client.answer().start, "HTTP/1.1 502 Bad Gateway");
+    let length = read.load(Ordering::Relaxed);
+    assert!((100..1000).contains(&length), "{length} bytes");
+    for bytes in 0..=length {
+        read.store(bytes, Ordering::Relaxed);
+        client.job("once", &format!("id-{bytes:05}"), 15_000);
+        assert_eq!(
+            client.answer().start,
+            "HTTP/1.1 502 Bad Gateway",
+            "reset after {bytes} of {length} bytes"
+        );
+    }
+    assert!(again.try_recv().is_err(), "sent again");
+}
