--- a/crates/oatdock/tests/fleet.rs
+++ b/crates/oatdock/tests/fleet.rs
@@ -156,6 +156,28 @@
     assert!(most <= 14, "{most} jobs to one returned worker in a window");
 }
 
+/// Workers that have run for long.
+const WARM: [&str; 3] = ["w0", "w1", "w2"];
+
+/// A worker's probe tells of so many free slots.
+fn probed(world: &mut World, worker: &str, free: f64) {
+    let report = Some(Report { free_slots: Some(free), ..Report::default() });
+    world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report });
+}
+
+/// A dispatcher that knows three warm workers and has had six jobs of a second each, four at a time in a worker; `then` comes after each.
+fn served(set: &Settings, seed: u64, then: impl Fn(&mut World)) -> World {
+    let mut world = World::new(set.clone(), seed);
+    known(&mut world, WARM.len());
+    for id in 0..6 {
+        world.ask(request(id, 4 * SEC));
+        world.pass(SEC, true);
+        world.end(id, 0, Outcome::Ok);
+        then(&mut world);
+    }
+    world
+}
+
 /// Nearly the whole fleet is replaced at once, and the few workers that are left are full: what all dispatchers together send to a fresh
 /// one is bounded by what it does, however much comes; and it is used, however little each sees. By parts of own traffic it was
 /// neither: with one worker left each took it for its whole fleet, and what waited at the others was given to nobody.
@@ -165,18 +187,7 @@
     let cold_sends = |jobs: u64| {
         let mut sent = 0;
         for seed in 0..DISPATCHERS {
-            let mut world = World::new(set.clone(), seed);
-            known(&mut world, 3);
-            // Jobs run for a second each, four at a time in a worker.
-            for id in 0..6 {
-                world.ask(request(id, 4 * SEC));
-                world.pass(SEC, true);
-                world.end(id, 0, Outcome::Ok);
-                let report = Some(Report { free_slots: Some(4.0), ..Report::default() });
-                for worker in ["w0", "w1", "w2"] {
-                    world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report });
-                }
-            }
+            let mut world = served(&set, seed, |world| WARM.into_iter().for_each(|w| probed(world, w, 4.0)));
             let started = Some(world.now);
             world.list(ListScope::Full, &[Entry { started, ..Entry::new("w9", WorkerState::Ready) }]);
             // A window of the cold budget.
@@ -226,23 +237,13 @@
     let mut set = Settings { instances: THIRTY as u32, ..large() };
     set.limits.probes = true;
     set.reports = ReportVia::Answers;
-    let report = |free| Some(Report { free_slots: Some(free), ..Report::default() });
     let mut sent = 0;
     for seed in 0..THIRTY {
-        let mut world = World::new(set.clone(), seed);
-        known(&mut world, 3);
-        // Jobs run for a second each, four at a time in a worker.
-        for id in 0..6 {
-            world.ask(request(id, 4 * SEC));
-            world.pass(SEC, true);
-            world.end(id, 0, Outcome::Ok);
-        }
+        let mut world = served(&set, seed, |_| ());
         world.pass(before, false);
-        for worker in ["w0", "w1", "w2"] {
-            world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report: report(0.0) });
-        }
+        WARM.into_iter().for_each(|w| probed(&mut world, w, 0.0));
         let started = Some(world.now);
-        let entries: Vec<Entry<'_>> = ["w0", "w1", "w2"].map(|w| Entry::new(w, WorkerState::Ready)).into();
+        let entries: Vec<Entry<'_>> = WARM.map(|w| Entry::new(w, WorkerState::Ready)).into();
         let fresh = [Entry { started, ..Entry::new("w9", WorkerState::Ready) }];
         let list = [&entries[..], &fresh].concat();
         world.list(ListScope::Full, &list);
@@ -253,10 +254,8 @@
         for _ in 0..20 {
             // The list comes again and again, with the same start.
             world.list(ListScope::Full, &list);
-            for worker in ["w0", "w1", "w2", "w9"] {
-                let free = if worker == "w9" { 4.0 } else { 0.0 };
-                world.give(Event::Probed { worker, outcome: Outcome::Ok, lag: MS, report: report(free) });
-            }
+            WARM.into_iter().for_each(|w| probed(&mut world, w, 0.0));
+            probed(&mut world, "w9", 4.0);
             world.pass(100 * MS, false);
         }
         sent += (100..108).flat_map(|id| world.sends(id)).filter(|to| to == "w9").count();
--- a/crates/spanlead/tests/crossings.rs
+++ b/crates/spanlead/tests/crossings.rs
@@ -2,7 +2,7 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{Call, Client, Scheduler, Server, folder};
+use harness::{Call, Client, Scheduler, Server, folder, take, with_worker};
 use rustix::net::sockopt::set_socket_linger;
 use std::collections::HashSet;
 use std::io::{Read, Write};
@@ -20,23 +20,18 @@
     format!(r#"{{"seq":{seq},"whole":false,"hosts":[{rows}]}}"#)
 }
 
-/// A scheduler that knows one worker, `s-a`, and has a watch at discovery.
-fn with_worker() -> (Scheduler, Server, Server) {
-    let (discovery, worker) = (Server::start(), Server::start());
-    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], &[]);
+/// A scheduler that knows one worker, `s-a`, and has a watch at discovery that stands.
+fn with_watch() -> (Scheduler, Server, Server) {
+    let (scheduler, worker, discovery) = with_worker();
     discovery.next().reply("200 OK", "", &list(42, ""));
     (scheduler, worker, discovery)
 }
 
-fn take(call: Call) {
-    call.reply("202 Accepted", "", "");
-}
-
 // Guards against sends to what drains: a watch that falls silent in the moment of a change was given up after 6 s, by when the change
 // counts as told, and only then came the back-off and another call. What the new call may take, 1 s, must fit in as well.
 #[test]
 fn a_watch_that_falls_silent_is_opened_anew_before_its_news_counts_as_told() {
-    let (_scheduler, _worker, discovery) = with_worker();
+    let (_scheduler, _worker, discovery) = with_watch();
     let silent = discovery.next();
     let since = Instant::now();
     assert_eq!(discovery.next().message.start, "GET /v1/servers?index=42&wait=0 HTTP/1.1");
@@ -47,7 +42,7 @@
 // Guards against the same after many failed calls: the back-off alone grew to 6 s.
 #[test]
 fn a_discovery_that_is_back_is_heard_before_its_news_counts_as_told() {
-    let (scheduler, worker, discovery) = with_worker();
+    let (scheduler, worker, discovery) = with_watch();
     let other = Server::start();
     discovery.next().reply("503 Service Unavailable", "", "");
     for _ in 0..6 {
@@ -85,7 +80,7 @@
 // had sent more was not seen, and attempts for it went on.
 #[test]
 fn a_client_that_sent_more_than_its_request_is_seen_to_leave() {
-    let (scheduler, worker, _discovery) = with_worker();
+    let (scheduler, worker, _discovery) = with_watch();
     let mut client = scheduler.client();
     client.job("status-check", "id-1", 60_000);
     take(worker.next());
@@ -98,7 +93,7 @@
 // Guards against the same where the client has left before its request was read: it is not taken at all.
 #[test]
 fn a_request_whose_client_left_before_it_was_read_is_not_sent_on() {
-    let (scheduler, worker, _discovery) = with_worker();
+    let (scheduler, worker, _discovery) = with_watch();
     // It has served one before, so that nothing but the order below is left to chance.
     let mut client = scheduler.client();
     client.job("status-check", "id-0", 60_000);
@@ -118,7 +113,7 @@
 // Guards a planned restart: a request that had begun to come in before the end was taken when nobody decided any more, and had no answer.
 #[test]
 fn a_request_that_is_whole_only_when_the_last_connections_close_is_answered() {
-    let (mut scheduler, worker, _discovery) = with_worker();
+    let (mut scheduler, worker, _discovery) = with_watch();
     let (mut half, mut idle) = (scheduler.client(), scheduler.client());
     half.write(
         "POST /status-check/x HTTP/1.1\r\nHost: backend.local\r\nReq-Id: id-1\r\nReq-Owner: norrtrim\r\n",
@@ -168,7 +163,7 @@
 // Guards discovery's share of the descriptors: clients fill all that they can get and rest, while discovery can't be reached.
 #[test]
 fn clients_that_fill_the_descriptors_while_discovery_is_down_shut_nobody_out() {
-    let (scheduler, worker, discovery) = with_worker();
+    let (scheduler, worker, discovery) = with_watch();
     let other = Server::start();
     discovery.next().hang_up();
     let mut idle: Vec<TcpStream> = Vec::new();
--- a/crates/spanlead/tests/harness/mod.rs
+++ b/crates/spanlead/tests/harness/mod.rs
@@ -130,6 +130,18 @@
     }
 }
 
+/// Takes a job as a worker does.
+pub fn take(call: Call) {
+    call.reply("202 Accepted", "", "");
+}
+
+/// A scheduler that knows one worker, `s-a`; that worker, and discovery.
+pub fn with_worker() -> (Scheduler, Server, Server) {
+    let (discovery, worker) = (Server::start(), Server::start());
+    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], &[]);
+    (scheduler, worker, discovery)
+}
+
 /// A new folder for one test.
 pub fn folder() -> PathBuf {
     let folder = PathBuf::from(config_path()).with_extension("d");
--- a/crates/spanlead/tests/serve.rs
+++ b/crates/spanlead/tests/serve.rs
@@ -2,23 +2,12 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{Call, Scheduler, Server, config, folder, nobody};
+use harness::{Scheduler, Server, config, folder, nobody, take, with_worker};
 use insta::assert_snapshot;
 use std::net::{TcpListener, UdpSocket};
 use std::os::unix::net::UnixListener;
 use std::time::{Duration, Instant};
 
-/// A scheduler that knows one worker, `s-a`.
-fn with_worker() -> (Scheduler, Server, Server) {
-    let (discovery, worker) = (Server::start(), Server::start());
-    let scheduler = Scheduler::start(discovery.addr, &[worker.entry("s-a", "active")], &[]);
-    (scheduler, worker, discovery)
-}
-
-fn take(call: Call) {
-    call.reply("202 Accepted", "", "");
-}
-
 // Guards the passage of a job: what a worker needs goes on unchanged, and its result comes back whole.
 #[test]
 fn a_job_is_handed_over_and_its_result_handed_back() {
