Name the protocol's slack of 50 ms once

Found on the second reading: config.rs (the least wait for a connection) and workers.rs (how long one settles) each had 50 ms of their own for the same term. Now spanlead_net::SLACK serves both.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,10 @@
 pub use message::Message;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// The slack that the protocol gives each time limit on sockets.
+pub const SLACK: Duration = Duration::from_millis(50);
 
 /// Locks; the runtime has one thread, so nobody waits, and a panic elsewhere leaves plain data behind.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/net/src/workers.rs
+++ b/crates/net/src/workers.rs
@@ -1,6 +1,6 @@
 //! Connections to workers, the pool that keeps them between requests, and what is asked over them.
-use super::lock;
 use super::wire::{self, Body, Parcel, Reply};
+use super::{SLACK, lock};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -26,10 +26,10 @@
 /// The pause before an unanswered call that abandons an attempt is made again.
 const ABANDON_AGAIN: Duration = Duration::from_millis(200);
 
-/// How long a connection rests before a job goes out on it, or a call that abandons one: the protocol's slack. Guards them from an answer that
-/// comes twice: the second one, some milliseconds late, would be read as the answer to what is asked next, as a job taken or called off
-/// that is not. While nothing is asked, it ends the connection. Probes don't wait: a figure that is one probe old does no harm.
-const SETTLE: Duration = Duration::from_millis(50);
+/// How long a connection rests before a job goes out on it, or a call that abandons one. Guards them from an answer that comes twice: the second
+/// one, some milliseconds late, would be read as the answer to what is asked next, as a job taken or called off that is not. While nothing
+/// is asked, it ends the connection. Probes don't wait: a figure that is one probe old does no harm.
+const SETTLE: Duration = SLACK;
 
 /// Why an exchange brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use settings::{BadField, Deployment, Options};
 use spanlead_core::Host;
+use spanlead_net::SLACK;
 use spanlead_net::clients::MAX_HEAD;
 use spanlead_net::operator::MAX_CALLS;
 use spanlead_net::peers::Peers;
@@ -26,8 +27,6 @@
 /// Descriptors that are neither a client's nor a worker's connection: the listener, the runtime's, standard input and
 /// output, discovery, peers, and some to spare.
 const OTHER_SOCKETS: usize = 32;
-/// The slack that the protocol gives each time limit on sockets, nanoseconds.
-const SLACK: Nanos = 50_000_000;
 /// What a client's connection may hold at the most: its buffer, a body, and what is kept beside them.
 const CLIENT_MEMORY: usize = MAX_HEAD + wire::MAX_BODY + 16 * 1024;
 
@@ -298,9 +297,8 @@
             keep: Duration::from_nanos(keep),
             reuse,
             // What is decided now is sent when its connection is up, and its worker may be told to drain in between.
-            connect_wait: Duration::from_nanos(
-                settings.limits.connect_timeout.min(settings.rules.drain_grace.max(SLACK)),
-            ),
+            connect_wait: Duration::from_nanos(settings.limits.connect_timeout)
+                .min(Duration::from_nanos(settings.rules.drain_grace).max(SLACK)),
             reports: self.deployment.reports,
         }
     }
