Let a restart hand over in a folder whose path is longer than a socket address

At fault: relay.rs, successor and predecessor: they bind and connect by $TMPDIR's own path. So it was a fault of the program too: a deployment whose $TMPDIR is long handed nothing over at a restart and said so in a warning only. Now both go by the folder, held open (/proc/self/fd/N/NAME), whatever its length.

New test in serve.rs with a folder of 120 letters more: fails without the mend ("no line with successor=true", 20 s), passes with it in 2 s.

--- a/crates/net/src/relay.rs
+++ b/crates/net/src/relay.rs
@@ -5,6 +5,7 @@
 use super::wire::{MAX_BODY, Notice};
 use crate::Message;
 use bytes::{Buf, Bytes, BytesMut};
+use rustix::fs::{Mode, OFlags, open};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -13,8 +14,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::{AsFd, OwnedFd};
-use std::path::PathBuf;
+use std::os::fd::{AsFd, AsRawFd, OwnedFd};
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::Interest;
@@ -52,11 +53,23 @@
 }
 
 /// The link to the process that this one takes over from, if there is one. A socket that was left behind refuses.
-pub async fn predecessor(path: &PathBuf, to: &UnboundedSender<Message>) -> Option<Link> {
-    let stream = UnixStream::connect(path).await.ok()?;
+pub async fn predecessor(path: &Path, to: &UnboundedSender<Message>) -> Option<Link> {
+    let (_folder, short) = by_handle(path).ok()?;
+    let stream = UnixStream::connect(short).await.ok()?;
     Some(begin(stream, to.clone()))
 }
 
+/// The same place by way of its folder, held open, which has to live as long as the path is used. Guards against a folder
+/// whose path is longer than the 107 bytes that a Unix socket's address holds: nobody could take over there.
+fn by_handle(path: &Path) -> io::Result<(OwnedFd, PathBuf)> {
+    let (Some(folder), Some(name)) = (path.parent(), path.file_name()) else {
+        return Err(io::ErrorKind::InvalidInput.into());
+    };
+    let folder = open(folder, OFlags::PATH | OFlags::DIRECTORY | OFlags::CLOEXEC, Mode::empty())?;
+    let short = Path::new("/proc/self/fd").join(folder.as_raw_fd().to_string()).join(name);
+    Ok((folder, short))
+}
+
 /// Waits for the process that takes over from this one, again and again: a successor that ends leaves its place to the
 /// next.
 pub async fn listen(path: PathBuf, to: UnboundedSender<Message>) {
@@ -75,13 +88,16 @@
     }
 }
 
-async fn successor(path: &PathBuf) -> io::Result<UnixStream> {
+async fn successor(path: &Path) -> io::Result<UnixStream> {
     // What a process left behind that was killed, or the name of the one before, which has taken this one in.
     match std::fs::remove_file(path) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
         _ => {}
     }
-    Ok(UnixListener::bind(path)?.accept().await?.0)
+    let (folder, short) = by_handle(path)?;
+    let listener = UnixListener::bind(short)?;
+    drop(folder);
+    Ok(listener.accept().await?.0)
 }
 
 fn begin(stream: UnixStream, to: UnboundedSender<Message>) -> Link {
--- a/crates/spanlead/tests/serve.rs
+++ b/crates/spanlead/tests/serve.rs
@@ -774,6 +774,27 @@
     assert_eq!(worker.next().message.header("req-id"), Some("id-4"));
 }
 
+// Guards a hand-over in a folder whose path is longer than a Unix socket's address holds.
+#[test]
+fn a_second_process_takes_over_in_a_folder_with_a_long_path() {
+    let (discovery, worker) = (Server::start(), Server::start());
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let folder = folder().join("f".repeat(120));
+    std::fs::create_dir_all(&folder).expect("a writable folder");
+    let known = [worker.entry("s-a", "active")];
+    let start = || Scheduler::start_beside(&platform, &folder, discovery.addr, &known, &[]);
+    let mut old = start();
+    let mut client = old.client();
+    client.job("once", "id-1", 60_000);
+    take(worker.next());
+    let new = start();
+    old.logged("successor=true");
+    old.terminate();
+    assert!(old.wait().success());
+    new.client().notice("id-1", "s-a", r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+}
+
 // Guards an upgrade: two processes serve by one inherited socket. Neither a file left behind nor the peers' address, which
 // the old one holds, hinders the new one; a notice that reaches the wrong process finds its job; the old one, told to end,
 // takes no connection any more, hands what is open to the new one with its clients' connections, and ends before that is
