--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of workers: a watch that goes on until it fails, and single calls.
 use super::wire::{self, Body, List};
-use super::workers::{Connection, connect};
+use super::workers::{Connection, Fault, connect};
 use crate::Message;
 use hyper::{Request, StatusCode};
 use oatdock::ListScope;
@@ -114,7 +114,13 @@
             Some(open) => open,
             None => connect(self.addr, until, None).await.ok()?,
         };
-        let (status, _, body) = open.exchange(call?, until, MAX_LIST).await.ok()?;
+        let answer = open.exchange(call?, until, MAX_LIST).await;
+        let answer = answer.inspect_err(|fault| {
+            if let Fault::Unreadable(why) = fault {
+                self.bad_input(why);
+            }
+        });
+        let (status, _, body) = answer.ok()?;
         *connection = Some(open);
         if status != StatusCode::OK {
             return None;
@@ -125,11 +131,15 @@
             false => tokio::task::spawn_blocking(move || Answer::read(&body, &names)).await.ok()?,
         };
         if answer.is_none() {
-            let _ = self.to.send(Message::Input(Input::BadInput { why: "not a list" }));
+            self.bad_input("not a list");
         }
         answer
     }
 
+    fn bad_input(&self, why: &'static str) {
+        let _ = self.to.send(Message::Input(Input::BadInput { why }));
+    }
+
     fn tell(&self, scope: ListScope, hosts: Vec<Host>) {
         let _ = self.to.send(Message::Input(Input::List { scope, version: self.version, hosts }));
     }
--- a/crates/net/src/workers.rs
+++ b/crates/net/src/workers.rs
@@ -1,15 +1,16 @@
 //! Connections to workers, the pool that keeps them between requests, and what is asked over them.
 use super::wire::{self, Body, Parcel, Reply};
-use super::{SLACK, lock};
+use super::{Message, SLACK, lock};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use oatdock::{Outcome, Report};
 use settings::Reports;
-use spanlead_core::{Handover, Offer};
+use spanlead_core::{Handover, Input, Offer};
 use std::collections::HashMap;
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -19,6 +20,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -40,6 +42,8 @@
     Unsent,
     /// The connection broke after that.
     Broken,
+    /// After that an answer came that can't be read, for this reason.
+    Unreadable(&'static str),
     /// The deadline passed.
     Overdue,
 }
@@ -167,18 +171,35 @@
     ) -> Result<(StatusCode, HeaderMap, Bytes), Fault> {
         self.meter.begin(hyper::body::Body::size_hint(request.body()).lower());
         let meter = self.meter.clone();
-        let broken = move || if meter.all_written() { Fault::Broken } else { Fault::Unsent };
+        let broken = move |error| if meter.all_written() { after_whole(error) } else { Fault::Unsent };
         let whole = async {
             self.sender.ready().await.map_err(|_| Fault::Unsent)?;
-            let response = self.sender.send_request(request).await.map_err(|_| broken())?;
+            let response = self.sender.send_request(request).await.map_err(|e| broken(e.into()))?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, max_body).collect().await.map_err(|_| broken())?;
+            let body = Limited::new(body, max_body).collect().await.map_err(broken)?;
             Ok((head.status, head.headers, body.to_bytes()))
         };
         timeout_at(until, whole).await.unwrap_or(Err(Fault::Overdue))
     }
 }
 
+/// What an error says once the request is whole. An answer that ends before its head does can't be told from none.
+fn after_whole(error: Box<dyn Error + Send + Sync>) -> Fault {
+    if error.is::<LengthLimitError>() {
+        return Fault::Unreadable("answer too long");
+    }
+    let Some(error) = error.downcast_ref::<hyper::Error>() else { return Fault::Broken };
+    let source = error.source().and_then(|s| s.downcast_ref::<io::Error>()).map(io::Error::kind);
+    match source {
+        _ if error.is_parse() => Fault::Unreadable("answer not HTTP"),
+        Some(io::ErrorKind::UnexpectedEof) => Fault::Unreadable("answer cut short"),
+        Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => {
+            Fault::Unreadable("answer not HTTP")
+        }
+        _ => Fault::Broken,
+    }
+}
+
 // ---------------------------------------------------------------- the pool
 
 struct Idle {
@@ -198,6 +219,7 @@
     budget: Arc<Semaphore>,
     size: AtomicUsize,
     tuning: Mutex<Tuning>,
+    to: UnboundedSender<Message>,
 }
 
 /// What of the settings the connections to workers go by.
@@ -213,10 +235,14 @@
 }
 
 impl Pool {
-    /// A pool of at most `budget` connections.
-    pub fn new(budget: usize, tuning: Tuning) -> Self {
+    /// A pool of at most `budget` connections, which tells `to` of what could not be read.
+    pub fn new(budget: usize, tuning: Tuning, to: UnboundedSender<Message>) -> Self {
         let (size, budget) = (AtomicUsize::new(budget), Arc::new(Semaphore::new(budget)));
-        Pool { idle: Mutex::default(), budget, size, tuning: Mutex::new(tuning) }
+        Pool { idle: Mutex::default(), budget, size, tuning: Mutex::new(tuning), to }
+    }
+
+    fn bad_input(&self, why: &'static str) {
+        let _ = self.to.send(Message::Input(Input::BadInput { why }));
     }
 
     fn tuning(&self) -> Tuning {
@@ -274,7 +300,7 @@
                     // A kept one that was closed meanwhile takes less than the whole request: on to the next.
                     Err(Fault::Unsent) if again => whole = lock(&meter.whole).take(),
                     // The others to a worker that broke one off or says nothing are no better.
-                    Err(fault @ (Fault::Broken | Fault::Overdue)) => {
+                    Err(fault @ (Fault::Broken | Fault::Unreadable(_) | Fault::Overdue)) => {
                         self.close_idle(addr);
                         return Err(fault);
                     }
@@ -293,7 +319,7 @@
             },
             Err(Fault::NoRoom) => Handover::Ended(Outcome::Moot, None),
             Err(Fault::Unsent) => Handover::Ended(Outcome::ConnectFailed, None),
-            Err(Fault::Broken) => Handover::Ended(Outcome::Reset, None),
+            Err(Fault::Broken | Fault::Unreadable(_)) => Handover::Ended(Outcome::Reset, None),
             Err(Fault::Overdue) => Handover::Ended(Outcome::Timeout, None),
         }
     }
@@ -311,6 +337,9 @@
             Ok(reply) => {
                 let text = std::str::from_utf8(&reply.body).unwrap_or("");
                 let figures = wire::load(text).filter(|_| reply.status == StatusCode::OK);
+                if reply.status == StatusCode::OK && figures.is_none() && reply.report.is_none() {
+                    self.bad_input("not a load report");
+                }
                 let report = figures.map(|f| self.tuning().reports.report(f)).or(reply.report);
                 let outcome = match reply.status {
                     StatusCode::OK => Outcome::Ok,
@@ -321,7 +350,7 @@
             }
             Err(Fault::NoRoom) => (Outcome::Moot, None),
             Err(Fault::Unsent) => (Outcome::ConnectFailed, None),
-            Err(Fault::Broken) => (Outcome::Reset, None),
+            Err(Fault::Broken | Fault::Unreadable(_)) => (Outcome::Reset, None),
             Err(Fault::Overdue) => (Outcome::Timeout, None),
         }
     }
@@ -360,7 +389,12 @@
         until: Instant,
     ) -> Result<Reply, Fault> {
         let request = request().ok_or(Fault::Unsent)?;
-        let (status, headers, body) = connection.exchange(request, until, wire::MAX_BODY).await?;
+        let answer = connection.exchange(request, until, wire::MAX_BODY).await;
+        let (status, headers, body) = answer.inspect_err(|fault| {
+            if let Fault::Unreadable(why) = fault {
+                self.bad_input(why);
+            }
+        })?;
         self.put_idle(addr, connection);
         Ok(wire::reply(status, &headers, body, self.tuning().reports))
     }
--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -254,7 +254,7 @@
             ejected: 0,
             retry_tokens: 10.0,
             top: settings.classes.iter().map(|c| c.priority).max().unwrap_or(0),
-            limiter: Limiter::new(),
+            limiter: Limiter::default(),
             bold: 1.0,
             placed: FxHashMap::default(),
             lag_kept: 0.0,
--- a/crates/oatdock/src/lib.rs
+++ b/crates/oatdock/src/lib.rs
@@ -3,7 +3,8 @@
 mod check;
 mod choice;
 mod graph;
-mod limiter;
+#[doc(hidden)]
+pub mod limiter;
 mod rate;
 mod worker;
 
--- a/crates/oatdock/src/limiter.rs
+++ b/crates/oatdock/src/limiter.rs
@@ -18,19 +18,21 @@
 const FORGET: f64 = 0.01;
 
 /// What is taken.
-pub(crate) struct Limiter {
+pub struct Limiter {
     /// The part of the work that comes which is taken.
     admit: f64,
     /// Requests of late, by lot.
     seen: Vec<f64>,
 }
 
-impl Limiter {
+impl Default for Limiter {
     /// One that takes everything.
-    pub fn new() -> Self {
+    fn default() -> Self {
         Limiter { admit: 1.0, seen: Vec::new() }
     }
+}
 
+impl Limiter {
     /// A request came.
     pub fn arrived(&mut self, lot: usize) {
         self.admit = (self.admit * (1.0 + DRIFT)).min(1.0);
@@ -77,6 +79,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -205,7 +205,7 @@
         reports: deployment.reports,
         open: HashMap::new(),
         handovers: HashMap::new(),
-        pool: Arc::new(Pool::new(share.workers, tuning)),
+        pool: Arc::new(Pool::new(share.workers, tuning, to.clone())),
         front: front.clone(),
         names,
         deployment,
@@ -416,17 +416,15 @@
             Message::Ledger(Ok(opened)) => self.opened(*opened),
             Message::Ledger(Err(why)) => self.broken = Some(why),
             Message::Progress(progress) => self.progress(progress),
-            // Its client has left while it waited for the ledger to open. What another process had begun must be ended in order.
-            Message::Arrival(Arrival { job, reply, .. })
-                if reply.is_closed() && !self.adopted.contains_key(&job.id) =>
-            {
-                self.step(Input::TurnedAway { class: job.class });
-            }
             Message::Arrival(Arrival { ticket, mut job, parcel, line, reply }) => {
-                // The departure of one that was adopted may have been told before it was held back for the ledger.
-                let left = reply.is_closed();
+                let adopted = self.adopted.remove(&job.id);
+                // Its client has left while it waited for the ledger to open, and that was told before. What another process had begun
+                // must be ended in order: of one that was adopted the departure is told after this.
+                if adopted.is_none() && reply.is_closed() {
+                    return self.step(Input::TurnedAway { class: job.class });
+                }
                 self.open.insert(ticket, Open { line, reply, parcel: Arc::new(parcel) });
-                let Some((tale, notices)) = self.adopted.remove(&job.id) else {
+                let Some((tale, notices)) = adopted else {
                     return self.step(Input::Request { ticket, job, tries: None, durable: false });
                 };
                 let Tale { due, tries, durable, .. } = tale;
@@ -435,10 +433,6 @@
                 }
                 self.step(Input::Request { ticket, job, tries: Some(tries), durable });
                 notices.into_iter().for_each(|(notice, heard)| self.heed(notice, heard));
-                if left {
-                    self.open.remove(&ticket);
-                    self.step(Input::ClientLeft { ticket });
-                }
             }
             Message::Adopted { tale, text, socket } => {
                 let id = tale.id.clone();
--- a/crates/spanlead/tests/serve.rs
+++ b/crates/spanlead/tests/serve.rs
@@ -2,9 +2,12 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod harness;
 
-use harness::{Scheduler, Server, config, folder, nobody, take, with_worker};
+use harness::{PATIENCE, Scheduler, Server, config, folder, nobody, take, with_worker};
 use insta::assert_snapshot;
+use std::fs::File;
+use std::io::Write;
 use std::net::{TcpListener, UdpSocket};
+use std::os::fd::AsRawFd;
 use std::os::unix::net::UnixListener;
 use std::time::{Duration, Instant};
 
@@ -143,6 +146,51 @@
     assert_eq!(counted, r#"{"not HTTP":2,"not a list":1,"not a notice":1,"unknown class":1}}"#);
 }
 
+// The same of what workers and discovery answer: the job goes on to the next worker, and so does the watch.
+#[test]
+fn answers_that_can_t_be_read_are_counted_by_reason() {
+    let (discovery, workers) = (Server::start(), [(); 4].map(|()| Server::start()));
+    let names = ["s-a", "s-b", "s-c", "s-d"];
+    let known: Vec<_> = workers.iter().zip(names).map(|(w, name)| w.entry(name, "active")).collect();
+    let edits = [
+        (r#""cancel":true"#, r#""cancel":true,"probes":true"#),
+        (r#""round":"#, r#""report":{"via":"answers"},"familyInfo":{"reportX0":"free slots"},"round":"#),
+    ];
+    let scheduler = Scheduler::start(discovery.addr, &known, &edits);
+    let answer = |n: usize, body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {n}\r\n\r\n{body}");
+    let bad = ["SPAM\r\n\r\n".to_owned(), answer(9, "short"), answer(65 * 1024, &"x".repeat(65 * 1024))];
+    let (mut bad, mut probes) = (bad.iter(), 0);
+    let mut client = scheduler.client();
+    client.job("status-check", "id-1", 60_000);
+    let began = Instant::now();
+    let taken = loop {
+        assert!(began.elapsed() < PATIENCE, "nobody is asked");
+        let asked = workers.iter().zip(names).find_map(|(w, name)| Some((name, w.try_next()?)));
+        let Some((name, mut call)) = asked else { continue };
+        if call.message.start.starts_with("GET /load") {
+            probes += 1;
+            call.reply("200 OK", "", if probes == 1 { r#"{"x0":"# } else { "TEXT x0=2.1, util=0.1" });
+        } else if let Some(text) = bad.next() {
+            let _ = call.stream.write_all(text.as_bytes());
+            call.hang_up();
+        } else {
+            take(call);
+            break name;
+        }
+    };
+    scheduler.client().notice("id-1", taken, r#""state":"done","result":"r""#);
+    assert_eq!(client.answer().body, "r");
+    let mut call = discovery.next();
+    call.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n").expect("it reads");
+    discovery.next();
+    let stats = scheduler.operate("GET /ops/stats");
+    let counted = stats.split_once(r#""bad_input":"#).map_or("none", |(_, rest)| rest.trim_end());
+    assert_eq!(
+        counted,
+        r#"{"answer cut short":1,"answer not HTTP":2,"answer too long":1,"not a load report":1}}"#
+    );
+}
+
 /// A good head, but for what says how long the body is.
 fn head(id: &str, deadline_ms: u64) -> String {
     format!(
@@ -809,7 +857,10 @@
         (r#""seed":"#, &format!(r#""peer_listen":"{peers}","seed":"#)),
     ];
     let folder = folder();
-    drop(UnixListener::bind(folder.join("n0.sock")).expect("a socket that is left behind"));
+    // By way of the open folder, whose own path may be longer than a socket's address holds.
+    let open = File::open(&folder).expect("a folder");
+    let left_behind = format!("/proc/self/fd/{}/n0.sock", open.as_raw_fd());
+    drop(UnixListener::bind(left_behind).expect("a socket that is left behind"));
     let known = [worker.entry("s-a", "active")];
     let start = || Scheduler::start_beside(&platform, &folder, discovery.addr, &known, &edits);
     let mut old = start();
