Let fresh workers' parts go by own traffic alone where slots are not told

Seen: three tests of the module fail at (behaviour.rs: 22 jobs to a cold worker whose warm share is 20; 1,944 slots to a cold worker; 0.61 of the jobs to fresh workers).

At fault: walk.rs, draw: where slots are not told the part was the larger of own traffic and of one slot. Where jobs are short and few, one slot does far more than the worker is used to. One slot now counts only as long as there was no warm worker to go by.

Where slots are told nothing changes.

--- a/crates/oatdock/src/choice/walk.rs
+++ b/crates/oatdock/src/choice/walk.rs
@@ -140,13 +140,13 @@
         }
         let window_s = self.set.rules.tip_after as f64 / SEC as f64;
         let mean_weight = self.weight_sum / n as f64;
-        // What a warm worker does in a window, as far as that is known: by its slots. Where they are not told
-        // it has one, or does what it would if all had the traffic of this one.
+        // What a warm worker does in a window, as far as that is known: by its slots. Where they are not told,
+        // what it would if all had the traffic of this one; with one slot while there was no warm one.
         let instances = f64::from(self.set.instances);
-        let own = if self.slots > 0.0 { 0.0 } else { self.own_share * instances };
-        let does = own.max(self.slots.max(1.0) * SEC as f64 / self.mean_run.max(1.0) / mean_weight.max(1e-3));
+        let by_slots = self.slots.max(1.0) * SEC as f64 / self.mean_run.max(1.0) / mean_weight.max(1e-3);
+        let told = self.slots > 0.0 || self.own_share == 0.0;
         let mut scene = Scene {
-            share: does * window_s,
+            share: window_s * if told { by_slots } else { self.own_share * instances },
             part: 1.0 / instances,
             looks: &mut self.looks,
             mean_weight,
