--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -223,7 +223,7 @@
     /// How long served jobs ran in the mean, nanoseconds, and the slots of a worker, by those heard of.
     mean_run: f64,
     slots: f64,
-    /// Slots that own traffic last brought a warm worker a second, by weight; when workers were last counted.
+    /// Slots that own traffic last brought a warm worker a second, by weight; when workers were counted.
     own_share: f64,
     counted_at: Nanos,
 }
--- a/crates/oatdock/src/choice/walk.rs
+++ b/crates/oatdock/src/choice/walk.rs
@@ -140,7 +140,7 @@
         }
         let window_s = self.set.rules.tip_after as f64 / SEC as f64;
         let mean_weight = self.weight_sum / n as f64;
-        // What a warm worker does in a window, as far as that is known: by its slots. Where they are not told,
+        // What a warm worker does in a window, as far as that is known: by its slots. Where they are untold,
         // what it would if all had the traffic of this one; with one slot while there was no warm one.
         let instances = f64::from(self.set.instances);
         let by_slots = self.slots.max(1.0) * SEC as f64 / self.mean_run.max(1.0) / mean_weight.max(1e-3);
