Let the set of schedulers be changed while duties are held: majorities of both sets

Seen: questions between schedulers of three and of five are ignored (holder.rs, hear: item.count != count), so during a rolling change nobody holds a duty until the new number has a majority, and where a cut falls between two of the old set and three of the new, each side has one: with processes, both act and terms go back (without_both_sets_a_cut_leaves_two_holders).

`joint-with N` in the section `leases` names the smaller of the two sets while one is changed. A scheduler with it needs majorities of both (joint consensus, Ongaro 2014, 4.3); words name their sender's sets, and an elector grants only to those that share one with it. Three, three-and-five and five may so follow each other over a rolling restart; that three and five alone don't run side by side is the operators' part (docs/duties.md). One that is not less than the peers is refused with file and line; `spanlead check` shows the sets.

Ruled out (design/duties.md): one scheduler at a time, an agreed configuration, all restarted with a vacant lease.

Model (stateright, the crate's own code), one to three and back, each restarted once in any order: searched whole, one holder; without both sets two. Five processes: three to five and back over 18 restarts, judged at the resource without its fence; the cut above, with and without.

--- a/crates/conf/src/fields.rs
+++ b/crates/conf/src/fields.rs
@@ -29,6 +29,12 @@
         format!("{}:{}", self.file, self.section.line)
     }
 
+    /// Where a keyword stands, or the section if it doesn't.
+    pub fn place_of(&self, keyword: &str) -> String {
+        let line = self.entries(keyword).next().map_or(self.section.line, |e| e.line);
+        format!("{}:{line}", self.file)
+    }
+
     /// Something is wrong with the section itself.
     pub fn section_problem(&mut self, why: String) {
         self.add(self.section.line, &self.section.name, why);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -47,12 +47,14 @@
     pub clock_bound: Duration,
     /// How long an answer of another scheduler may take.
     pub patience: Duration,
+    /// While the set of schedulers is changed: how many the smaller of the two sets has, and where that is said.
+    pub joint: Option<(u16, String)>,
 }
 
 impl Default for Leases {
     fn default() -> Self {
         let ms = Duration::from_millis;
-        Leases { lease: ms(3000), clock_bound: ms(300), patience: ms(200) }
+        Leases { lease: ms(3000), clock_bound: ms(300), patience: ms(200), joint: None }
     }
 }
 
@@ -296,6 +298,9 @@
             lease: fields.one("lease", |w| w.span(ms(200), s(600))).unwrap_or(default.lease),
             clock_bound: fields.one("clock-bound", |w| w.span(ms(1), s(60))).unwrap_or(default.clock_bound),
             patience: fields.one("patience", |w| w.span(ms(10), s(10))).unwrap_or(default.patience),
+            joint: fields
+                .one("joint-with", |w| w.number(1, 65_534))
+                .map(|n| (n as u16, fields.place_of("joint-with"))),
         };
         if leases.clock_bound >= leases.lease {
             fields.problem("clock-bound", "must be shorter than the lease".into());
--- a/crates/core/src/duties.rs
+++ b/crates/core/src/duties.rs
@@ -11,7 +11,7 @@
 pub(crate) const KIND: u8 = 1;
 /// How long a call may take.
 const CALL_WAIT: Nanos = 2_000 * MS;
-const _: () = assert!(MAX_ITEMS * 33 <= spanlead_membership::MAX_CARRIED);
+const _: () = assert!(MAX_ITEMS * 36 <= spanlead_membership::MAX_CARRIED);
 
 /// What the holder of a duty does: it calls this address, so often.
 #[derive(Clone, Debug)]
--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -1,6 +1,6 @@
 //! One scheduler's part in all duties: it grants them to others, asks for them in its turn, holds some.
 use crate::elector::Elector;
-use crate::message::{Item, MAX_ITEMS, Word, encode};
+use crate::message::{Item, MAX_ITEMS, Sets, Word, encode};
 use crate::{Millis, Term};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -12,8 +12,8 @@
 pub struct Settings {
     /// This scheduler's number.
     pub me: u16,
-    /// How many are configured; a majority of these grants.
-    pub count: u16,
+    /// How many are configured, and the other set while they are changed; a majority of each grants.
+    pub sets: Sets,
     /// How long a lease lasts.
     pub lease: Millis,
     /// By how much an elector's grant outlasts the lease: clocks that run at different rates for a lease's time.
@@ -33,7 +33,7 @@
     /// All other schedulers.
     fn others(&self) -> impl Iterator<Item = u16> + use<> {
         let me = self.me;
-        (0..self.count).filter(move |n| *n != me)
+        (0..self.sets.count).filter(move |n| *n != me)
     }
 }
 
@@ -222,8 +222,8 @@
     ) {
         let mut words = BTreeMap::new();
         for item in items {
-            // One that goes by another number of schedulers has other majorities: two of them needn't meet.
-            if item.count != self.set.count || from >= self.set.count || from == self.set.me {
+            // One that goes by other sets may have a majority that meets none of ours: two would hold it.
+            if !item.sets.meet(self.set.sets) || from >= self.set.sets.count || from == self.set.me {
                 continue;
             }
             let Some(at) = self.duties.iter().position(|d| d.hash == item.duty) else { continue };
@@ -287,7 +287,7 @@
         let me = self.set.me;
         let passed = self.duties[at].passed.filter(|(_, until)| now < *until).map(|(who, _)| who);
         let may = |n: &u16| (*n == me || lives(*n)) && passed != Some(*n);
-        (0..self.set.count).filter(may).filter(|n| weight(n) > weight(&me)).count() as u64
+        (0..self.set.sets.count).filter(may).filter(|n| weight(n) > weight(&me)).count() as u64
     }
 
     /// A span to wait, other than that of those who asked at the same time.
@@ -317,7 +317,7 @@
     }
 
     fn tell(&self, at: usize, to: u16, word: Word, words: &mut Words) {
-        let item = Item { duty: self.duties[at].hash, count: self.set.count, word };
+        let item = Item { duty: self.duties[at].hash, sets: self.set.sets, word };
         words.entry(to).or_default().push(item);
     }
 
@@ -342,8 +342,7 @@
     }
 
     fn answered(&mut self, now: Millis, at: usize, from: u16, word: Word, out: &mut Vec<Out>) {
-        let majority = usize::from(self.set.count / 2 + 1);
-        let lease = self.set.lease;
+        let (sets, lease) = (self.set.sets, self.set.lease);
         let duty = &mut self.duties[at];
         match word {
             Word::Grant { ask, term } => {
@@ -354,7 +353,7 @@
                 if !question.granted.contains(&from) {
                     question.granted.push(from);
                 }
-                if question.granted.len() < majority {
+                if !sets.majority(&question.granted) {
                     return;
                 }
                 let until = question.at + lease;
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use elector::Elector;
 pub use holder::{Change, Duties, Duty, Figures, Held, Out, Reason, Settings};
-pub use message::{Item, LAST_TERM, MAX_ITEMS, Word, decode, encode};
+pub use message::{Item, LAST_TERM, MAX_ITEMS, Sets, Word, decode, encode};
 
 /// A time or a span, milliseconds. Only differences of one process's own clock mean anything.
 pub type Millis = u64;
--- a/crates/duties/tests/hands.rs
+++ b/crates/duties/tests/hands.rs
@@ -1,6 +1,6 @@
 //! Duties change hands, in one process and without a network: datagrams are handed over as they come.
 use spanlead_duties::{
-    Change, Duties, Item, LAST_TERM, MAX_ITEMS, Out, Reason, Settings, Word, decode, encode,
+    Change, Duties, Item, LAST_TERM, MAX_ITEMS, Out, Reason, Sets, Settings, Word, decode, encode,
 };
 use std::collections::VecDeque;
 
@@ -17,7 +17,14 @@
 
 impl Tier {
     fn new(count: u16) -> Self {
-        let set = |me| Settings { me, count, lease: LEASE, bound: 300, patience: 200, seed: me.into() };
+        let set = |me| Settings {
+            me,
+            sets: Sets::of(count),
+            lease: LEASE,
+            bound: 300,
+            patience: 200,
+            seed: me.into(),
+        };
         let nodes = (0..count).map(|me| Duties::new(set(me), &["duty".to_owned()], 0)).collect();
         Tier { nodes, now: 0, changes: Vec::new(), under_way: VecDeque::new(), up: vec![true; count.into()] }
     }
@@ -108,7 +115,7 @@
         let start = |tier: &Tier, me: u16| {
             let set = Settings {
                 me,
-                count: 5,
+                sets: Sets::of(5),
                 lease: LEASE,
                 bound: 300,
                 patience: 200,
@@ -176,8 +183,11 @@
     tier.pass(5000);
     let holder = tier.holder().expect("a holder");
     let before = tier.nodes[usize::from(holder)].may_act(tier.now, 0);
-    let vain =
-        Item { duty: 0, count: 3, word: Word::Refuse { ask: 0, highest: before.unwrap_or(0) + 50, left: 0 } };
+    let vain = Item {
+        duty: 0,
+        sets: Sets::of(3),
+        word: Word::Refuse { ask: 0, highest: before.unwrap_or(0) + 50, left: 0 },
+    };
     let duty = xxhash_rust::xxh3::xxh3_64(b"duty") as u32;
     let mut out = Vec::new();
     let other = (holder + 1) % 3;
@@ -217,7 +227,7 @@
 fn words_fit_and_absurd_ones_are_none() {
     let longest = Item {
         duty: u32::MAX,
-        count: u16::MAX,
+        sets: Sets { count: u16::MAX, joint: u16::MAX },
         word: Word::Refuse { ask: u32::MAX, highest: LAST_TERM - 1, left: u64::MAX },
     };
     let bytes = encode(&[longest; MAX_ITEMS]);
@@ -228,3 +238,15 @@
     assert_eq!(decode(&encode(&[absurd])), None);
     assert_eq!(decode(b"rubbish"), None);
 }
+
+// Sets that share no set needn't have majorities that meet: nothing is granted between them, and all that share one grant.
+#[test]
+fn only_those_whose_majorities_meet_grant_to_each_other() {
+    let (three, joint, five) = (Sets::of(3), Sets { count: 5, joint: 3 }, Sets::of(5));
+    assert!(
+        three.meet(joint) && joint.meet(three) && joint.meet(five) && five.meet(joint) && joint.meet(joint)
+    );
+    assert!(!three.meet(five) && !five.meet(three));
+    assert!(joint.majority(&[0, 1, 4]) && !joint.majority(&[2, 3, 4]) && !joint.majority(&[0, 1]));
+    assert!(three.majority(&[0, 2]) && !three.majority(&[0, 3, 4]) && five.majority(&[2, 3, 4]));
+}
--- a/crates/duties/tests/model.rs
+++ b/crates/duties/tests/model.rs
@@ -1,7 +1,7 @@
 //! The leases searched whole for small sizes, by the crate's own state machine: three schedulers that grant and ask, messages lost,
-//! doubled and late, clocks of which one may run slow by the bound, restarts that forget all, and a stop between the check of a lease
-//! and the act. Each guard can be taken out; then the search must find what it was for.
-use spanlead_duties::{Duties, Item, Millis, Out, Settings, Term, Word, decode};
+//! doubled and late, clocks of which one may run slow by the bound, restarts that forget all, a change of the set, one after the other, and a
+//! stop between the check of a lease and the act. Each guard can be taken out; then the search must find what it was for.
+use spanlead_duties::{Duties, Item, Millis, Out, Sets, Settings, Term, Word, decode};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 
@@ -21,8 +21,16 @@
     Configured,
     /// What is acted on refuses an older term.
     Fence,
+    /// A set is changed by way of both.
+    Joint,
 }
 
+/// Before, and after each has been restarted once.
+type Change = [Sets; 2];
+const ONE: Sets = Sets { count: 1, joint: 0 };
+const BOTH: Sets = Sets { count: NODES, joint: 1 };
+const ALL: Sets = Sets { count: NODES, joint: 0 };
+
 struct Leases {
     without: Option<Guard>,
     /// Ticks of real time that are searched.
@@ -33,6 +41,8 @@
     questions: u32,
     /// Holders give it back.
     releases: bool,
+    /// The set is changed.
+    change: Option<Change>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -40,11 +50,13 @@
     now: u8,
     clocks: Vec<Millis>,
     nodes: Vec<Duties>,
+    /// By which sets each goes; `None` where it doesn't run.
+    sets: Vec<Option<Sets>>,
     asked: Vec<u32>,
     restarts: u8,
     slow: u8,
     /// What was sent and may arrive, any time and any number of times; or never.
-    under_way: BTreeSet<(u16, u16, Message)>,
+    under_way: BTreeSet<(u16, u16, Sets, Message)>,
     /// Checked and not yet done.
     acts: Vec<Option<Term>>,
     /// What the resource has accepted: the highest term, and whether it ever accepted an older one behind it.
@@ -66,8 +78,10 @@
     Pass(Option<u16>),
     /// A node looks whether it should ask: it does if it is its turn.
     Tick(u16),
-    Deliver(u16, u16, Message),
+    Deliver(u16, u16, Sets, Message),
     Restart(u16),
+    /// It starts, again or for the first time, with the sets after the change; or ends, where it isn't in them.
+    Change(u16),
     Release(u16),
     Check(u16),
     Act(u16),
@@ -93,13 +107,13 @@
 }
 
 impl Leases {
-    fn node(&self, me: u16, now: Millis, first: bool) -> Duties {
+    fn node(&self, me: u16, sets: Sets, now: Millis, first: bool) -> Duties {
         // Without the guard each sees only itself.
-        let count = if self.without == Some(Guard::Configured) { 1 } else { NODES };
+        let alone = self.without == Some(Guard::Configured);
         let bound = if self.without == Some(Guard::Bound) { 0 } else { BOUND };
         let set = Settings {
-            me: if count == 1 { 0 } else { me },
-            count,
+            me: if alone { 0 } else { me },
+            sets: if alone { Sets::of(1) } else { sets },
             lease: LEASE,
             bound,
             patience: 1,
@@ -110,18 +124,24 @@
         Duties::new(set, &["duty".to_owned()], if silence { now.saturating_sub(LEASE + BOUND) } else { now })
     }
 
+    /// The sets before a change, or those that there are.
+    fn before(&self) -> Sets {
+        self.change.map_or(ALL, |[before, _]| before)
+    }
+
     fn hash() -> u32 {
         xxhash_rust::xxh3::xxh3_64(b"duty") as u32
     }
 }
 
 fn carry(state: &mut State, from: u16, out: Vec<Out>) {
+    let sets = state.sets[usize::from(from)].unwrap_or(ALL);
     for out in out {
         if let Out::Send(to, bytes) = out {
             let items = decode(&bytes).expect("our own words");
             // A refusal only makes its hearer wait, or ask for a higher term: as if it were lost.
             let words = items.into_iter().filter(|item| !matches!(item.word, Word::Refuse { .. }));
-            state.under_way.extend(words.map(|item| (from, to, message(item.word))));
+            state.under_way.extend(words.map(|item| (from, to, sets, message(item.word))));
         }
     }
 }
@@ -136,7 +156,8 @@
         vec![State {
             now: 0,
             clocks: vec![start; NODES.into()],
-            nodes: (0..NODES).map(|me| self.node(me, start, true)).collect(),
+            nodes: (0..NODES).map(|me| self.node(me, self.before(), start, true)).collect(),
+            sets: (0..NODES).map(|me| (me < self.before().count).then_some(self.before())).collect(),
             asked: vec![0; NODES.into()],
             restarts: 0,
             slow: 0,
@@ -156,6 +177,15 @@
         }
         for n in 0..NODES {
             let at = usize::from(n);
+            if let Some([before, after]) = self.change {
+                let changed = state.sets[at] == (n < after.count).then_some(after);
+                if !changed && state.sets[at] == (n < before.count).then_some(before) {
+                    actions.push(Action::Change(n));
+                }
+            }
+            if state.sets[at].is_none() {
+                continue;
+            }
             if n < ASKING && state.asked[at] < self.questions {
                 actions.push(Action::Tick(n));
             }
@@ -175,7 +205,9 @@
                 actions.push(Action::Act(n));
             }
         }
-        actions.extend(state.under_way.iter().map(|(from, to, m)| Action::Deliver(*from, *to, *m)));
+        let runs = |to: u16| state.sets[usize::from(to)].is_some();
+        let come = state.under_way.iter().filter(|(_, to, ..)| runs(*to));
+        actions.extend(come.map(|(from, to, sets, m)| Action::Deliver(*from, *to, *sets, *m)));
     }
 
     fn next_state(&self, last: &State, action: Action) -> Option<State> {
@@ -200,9 +232,9 @@
                 state.asked[at] += 1;
                 carry(&mut state, n, out);
             }
-            Action::Deliver(from, to, m) => {
+            Action::Deliver(from, to, sets, m) => {
                 let at = usize::from(to);
-                let item = Item { duty: Self::hash(), count: NODES, word: word(m) };
+                let item = Item { duty: Self::hash(), sets, word: word(m) };
                 state.nodes[at].hear(state.clocks[at], 1, from, &[item], |_| true, &mut out);
                 carry(&mut state, to, out);
                 // It may come again; what changes nothing is no step.
@@ -213,10 +245,17 @@
             Action::Restart(n) => {
                 let at = usize::from(n);
                 state.restarts += 1;
-                state.nodes[at] = self.node(n, state.clocks[at], false);
+                state.nodes[at] = self.node(n, ALL, state.clocks[at], false);
                 // What it was about to do, it has not sent: it does nothing any more.
                 state.acts[at] = None;
             }
+            Action::Change(n) => {
+                let at = usize::from(n);
+                let [_, after] = self.change?;
+                state.sets[at] = (n < after.count).then_some(after);
+                state.nodes[at] = self.node(n, after, state.clocks[at], false);
+                state.acts[at] = None;
+            }
             Action::Release(n) => {
                 let at = usize::from(n);
                 state.nodes[at].release(state.clocks[at], 0, &mut out);
@@ -242,13 +281,22 @@
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
             Property::always("one holder", |_: &Leases, state: &State| {
-                let holds = |n: &usize| state.nodes[*n].may_act(state.clocks[*n], 0).is_some();
+                let holds = |n: &usize| {
+                    state.sets[*n].is_some() && state.nodes[*n].may_act(state.clocks[*n], 0).is_some()
+                };
                 (0..NODES.into()).filter(holds).count() <= 1
             }),
             Property::always("no act under an older term", |_, state: &State| !state.overtaken),
             // That somebody can hold it at all, and after another: else the rest says nothing.
-            Property::sometimes("it is held and handed on", |_, state: &State| {
-                state.highest > 1 && state.nodes.iter().any(|n| n.duties().any(|(d, _)| d.holds()))
+            Property::sometimes("it is held and handed on", |model: &Leases, state: &State| {
+                let holds = |n: usize| state.nodes[n].duties().any(|(d, _)| d.holds());
+                match model.change {
+                    None => state.highest > 1 && (0..state.nodes.len()).any(holds),
+                    // Each forgets the terms that it knew: that one holds it after it was changed says as much.
+                    Some([_, after]) => {
+                        (0..state.nodes.len()).any(|n| state.sets[n] == Some(after) && holds(n))
+                    }
+                }
             }),
         ]
     }
@@ -260,11 +308,12 @@
     horizon: u8,
     questions: u32,
     releases: bool,
+    change: Option<Change>,
 }
 
 fn broken(without: Option<Guard>, size: Size) -> Vec<&'static str> {
-    let Size { restarts, slow, horizon, questions, releases } = size;
-    let model = Leases { without, horizon, restarts, slow, questions, releases };
+    let Size { restarts, slow, horizon, questions, releases, change } = size;
+    let model = Leases { without, horizon, restarts, slow, questions, releases, change };
     let checker = model.checker().threads(2).target_state_count(4_000_000).spawn_bfs().join();
     println!("without {without:?}: {} states", checker.unique_state_count());
     let held = "it is held and handed on";
@@ -276,7 +325,7 @@
     found
 }
 
-const SMALL: Size = Size { restarts: 0, slow: 0, horizon: 3, questions: 1, releases: false };
+const SMALL: Size = Size { restarts: 0, slow: 0, horizon: 3, questions: 1, releases: false, change: None };
 
 #[test]
 fn the_guards_hold_through_a_restart() {
@@ -312,3 +361,28 @@
 fn without_the_fence_an_act_comes_late() {
     assert_eq!(broken(Some(Guard::Fence), SMALL), ["no act under an older term"]);
 }
+
+// From one to three and back, by way of both: each is restarted once a step, in any order and at any time.
+#[test]
+fn one_holds_it_while_the_set_grows() {
+    for change in [[ONE, BOTH], [BOTH, ALL]] {
+        assert!(broken(None, Size { change: Some(change), ..SMALL }).is_empty(), "{change:?}");
+    }
+}
+
+#[test]
+fn one_holds_it_while_the_set_shrinks() {
+    for change in [[ALL, BOTH], [BOTH, ONE]] {
+        assert!(broken(None, Size { change: Some(change), ..SMALL }).is_empty(), "{change:?}");
+    }
+}
+
+#[test]
+fn without_both_sets_two_hold_it() {
+    for change in [[ONE, ALL], [ALL, ONE]] {
+        assert!(
+            broken(Some(Guard::Joint), Size { change: Some(change), ..SMALL }).contains(&"one holder"),
+            "{change:?}"
+        );
+    }
+}
--- a/crates/spanlead/src/config.rs
+++ b/crates/spanlead/src/config.rs
@@ -280,6 +280,19 @@
         Ok((settings, wanted.every.as_nanos() as Nanos))
     }
 
+    /// The sets whose majorities grant duties, of so many configured schedulers.
+    ///
+    /// # Errors
+    /// If the other set of a change isn't the smaller one; with the place of the keyword.
+    pub fn sets(leases: &spanlead_conf::Leases, count: u16) -> Result<spanlead_duties::Sets, String> {
+        match &leases.joint {
+            Some((joint, place)) if *joint >= count => Err(format!(
+                "{place}: joint-with: is not less than the {count} `peers`; the larger set has its `peers` here"
+            )),
+            joint => Ok(spanlead_duties::Sets { count, joint: joint.as_ref().map_or(0, |(n, _)| *n) }),
+        }
+    }
+
     /// What the connections to workers go by.
     ///
     /// Where a handshake has a price, jobs go out on kept connections, and these are kept for half of the time after which the
--- a/crates/spanlead/src/driver.rs
+++ b/crates/spanlead/src/driver.rs
@@ -143,6 +143,7 @@
 pub async fn serve(config: Config, conf: conf::Conf) -> Result<(), Box<dyn std::error::Error>> {
     let tuning = config.tuning();
     let members = conf.membership.as_ref().map(|m| config.members(m)).transpose()?;
+    let sets = members.as_ref().map(|(m, _)| Config::sets(&conf.leases, m.count)).transpose()?;
     let deployment = config.deployment;
     let names = watch::Sender::new(Arc::new(deployment.names.clone()));
 
@@ -236,10 +237,10 @@
         driver.step(Input::Join { settings: Box::new(settings), every });
         if !conf.duties.is_empty() {
             let ms = |d: Duration| d.as_millis() as u64;
-            let conf::Leases { lease, clock_bound, patience } = conf.leases;
+            let conf::Leases { lease, clock_bound, patience, .. } = conf.leases;
             let settings = spanlead_duties::Settings {
                 me,
-                count,
+                sets: sets.unwrap_or(spanlead_duties::Sets::of(count)),
                 lease: ms(lease),
                 bound: ms(clock_bound),
                 patience: ms(patience),
--- a/crates/spanlead/src/main.rs
+++ b/crates/spanlead/src/main.rs
@@ -180,6 +180,13 @@
         let bounds = spanlead_membership::Bounds::of(members.count, members.fanout, members.loss);
         let dead = humantime::format_duration(membership.every * bounds.dead);
         println!("members    {} schedulers, this is {}; one is dead after {dead}", members.count, members.me);
+        let sets = Config::sets(&conf.leases, members.count)?;
+        if sets.joint > 0 {
+            println!(
+                "duties     by majorities of {} and of the first {}: the set is being changed",
+                sets.count, sets.joint
+            );
+        }
     }
     if let Some(ledger) = conf.ledger {
         let show = humantime::format_duration;
--- a/crates/spanlead/tests/command.rs
+++ b/crates/spanlead/tests/command.rs
@@ -107,4 +107,9 @@
     ");
     let good = String::from_utf8(run_with_conf("check", &two, "membership\n").stdout).expect("text");
     assert_snapshot!(good.lines().last().unwrap_or(""), @"members    2 schedulers, this is 0; one is dead after 3s 600ms");
+    // While their set is changed: the other set is the smaller one.
+    let joint = |n: u32| run_with_conf("check", &two, &format!("membership\nleases\n  joint-with {n}\n"));
+    let shown = String::from_utf8(joint(1).stdout).expect("text");
+    assert_snapshot!(shown.lines().last().unwrap_or(""), @"duties     by majorities of 2 and of the first 1: the set is being changed");
+    assert_snapshot!(said(joint(2)), @"FILE:3: joint-with: is not less than the 2 `peers`; the larger set has its `peers` here");
 }
--- a/crates/spanlead/tests/duties.rs
+++ b/crates/spanlead/tests/duties.rs
@@ -12,14 +12,18 @@
     resource: Resource,
 }
 
+/// The operators' settings; `more` stands in the section `leases`.
+fn conf(resource: &Resource, more: &str) -> String {
+    format!(
+        "membership\n  every 50ms\nleases\n  lease 1s\n  clock-bound 200ms\n  patience 100ms\n{more}duty beacon\n  call http://{}/act\n  every 30ms\n",
+        resource.addr
+    )
+}
+
 impl Tier {
     async fn start(name: &str, fence: bool) -> Self {
         let resource = Resource::start(fence).await.expect("an address");
-        let conf = format!(
-            "membership\n  every 50ms\nleases\n  lease 1s\n  clock-bound 200ms\n  patience 100ms\nduty beacon\n  call http://{}/act\n  every 30ms\n",
-            resource.addr
-        );
-        let rig = rigs::start(&format!("duties-{name}"), COUNT, 3, &conf).await;
+        let rig = rigs::start(&format!("duties-{name}"), COUNT, 3, &conf(&resource, "")).await;
         let tier = Tier { rig, resource };
         tier.acted_beyond(0).await;
         tier
@@ -67,6 +71,41 @@
         .await
     }
 
+    /// Waits for another act, whatever its term.
+    async fn acts_go_on(&self) {
+        let before = self.resource.acts().len();
+        self.patiently("further act", async || (self.resource.acts().len() > before).then_some(())).await;
+    }
+
+    /// Starts one, again or for the first time, in a set of so many; with `joint`, of which the set of the first three is the other.
+    async fn restart(&mut self, scheduler: usize, count: usize, joint: bool) {
+        let conf = conf(&self.resource, if joint { "  joint-with 3\n" } else { "" });
+        self.stop(scheduler).await;
+        self.rig.configure(scheduler, count, &conf).expect("written");
+        self.rig.schedulers[scheduler].start().await.expect("it starts");
+    }
+
+    /// Ends one in order, if it runs.
+    async fn stop(&mut self, scheduler: usize) {
+        if !self.rig.schedulers[scheduler].ended() {
+            self.rig.schedulers[scheduler].terminate();
+            while !self.rig.schedulers[scheduler].ended() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    /// Only the first three run, in a set of three.
+    async fn begin_with_three(&mut self) {
+        for scheduler in 0..COUNT {
+            self.rig.schedulers[scheduler].kill().await;
+        }
+        for scheduler in 0..3 {
+            self.restart(scheduler, 3, false).await;
+        }
+        self.acts_go_on().await;
+    }
+
     fn judge(&self) {
         let overlaps = self.resource.overlaps();
         assert!(overlaps.is_empty(), "terms went back: {overlaps:?}");
@@ -270,3 +309,68 @@
         tier.judge();
     });
 }
+
+// From three to five and back, one after the other, by way of both sets; somebody holds it again after each step.
+#[test]
+fn a_set_grows_and_shrinks_while_it_is_held() {
+    play(async {
+        let mut tier = Tier::start("sets", false).await;
+        tier.begin_with_three().await;
+        for joint in [true, false] {
+            for scheduler in 0..COUNT {
+                tier.restart(scheduler, COUNT, joint).await;
+                tier.acts_go_on().await;
+            }
+        }
+        for scheduler in 0..COUNT {
+            tier.restart(scheduler, COUNT, true).await;
+            tier.acts_go_on().await;
+        }
+        for scheduler in 0..3 {
+            tier.restart(scheduler, 3, false).await;
+            tier.acts_go_on().await;
+        }
+        for scheduler in 3..COUNT {
+            tier.stop(scheduler).await;
+        }
+        tier.acts_go_on().await;
+        tier.judge();
+    });
+}
+
+/// Two of three stay in their set; the third starts in one of five, with the two new ones, and is cut off from those two just then. What each
+/// side does in the time of three leases.
+async fn cut_while_it_grows(name: &str, joint: bool) -> Tier {
+    let mut tier = Tier::start(name, false).await;
+    tier.begin_with_three().await;
+    let (old, new) = ([0, 1], [2, 3, 4]);
+    tier.rig.wires.cut(&old, &new, true);
+    tier.rig.wires.cut(&new, &old, true);
+    for scheduler in new {
+        tier.restart(scheduler, COUNT, joint).await;
+    }
+    tier.acts_go_on().await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    tier.acts_go_on().await;
+    tier
+}
+
+#[test]
+fn a_cut_while_the_set_grows_leaves_one_holder() {
+    play(async {
+        let tier = cut_while_it_grows("joint", true).await;
+        for scheduler in [2, 3, 4] {
+            assert_ne!(tier.state(scheduler).await.as_deref(), Some("held"), "{scheduler}");
+        }
+        tier.judge();
+    });
+}
+
+// The judge can see it: without the way by both sets each side has a majority of its own.
+#[test]
+fn without_both_sets_a_cut_leaves_two_holders() {
+    play(async {
+        let tier = cut_while_it_grows("unjoint", false).await;
+        assert!(!tier.resource.overlaps().is_empty());
+    });
+}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -60,8 +60,6 @@
         conf: &str,
         record: Record,
     ) -> io::Result<Self> {
-        std::fs::write(folder.join("config.json"), config.to_string())?;
-        std::fs::write(folder.join("spanlead.conf"), conf)?;
         let on = own_address();
         let addr = free(on)?;
         let mut operator = free(on)?;
@@ -69,7 +67,27 @@
             operator = free(on)?;
         }
         let (binary, folder) = (binary.to_owned(), folder.to_owned());
-        Ok(Scheduler { number: 0, addr, operator, binary, folder, child: None, record, loud: false })
+        let scheduler =
+            Scheduler { number: 0, addr, operator, binary, folder, child: None, record, loud: false };
+        scheduler.configure(config, conf)?;
+        Ok(scheduler)
+    }
+
+    /// The configuration that it starts with next.
+    ///
+    /// # Errors
+    /// If the file can't be read.
+    pub fn config(&self) -> io::Result<serde_json::Value> {
+        Ok(serde_json::from_slice(&std::fs::read(self.folder.join("config.json"))?)?)
+    }
+
+    /// Gives it another configuration and settings of the operators' for its next start.
+    ///
+    /// # Errors
+    /// If the files can't be written.
+    pub fn configure(&self, config: &serde_json::Value, conf: &str) -> io::Result<()> {
+        std::fs::write(self.folder.join("config.json"), config.to_string())?;
+        std::fs::write(self.folder.join("spanlead.conf"), conf)
     }
 
     /// Starts it and waits until it accepts.
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -239,6 +239,19 @@
         Ok(rig)
     }
 
+    /// Gives a scheduler, from its next start, only the first `count` schedulers as peers, and these settings of the operators'.
+    ///
+    /// # Errors
+    /// If its files can't be read or written.
+    pub fn configure(&self, scheduler: usize, count: usize, conf: &str) -> io::Result<()> {
+        let process = &self.schedulers[scheduler];
+        let mut config = process.config()?;
+        let peers = self.wires.peers_of(scheduler);
+        config["peers"] = peers.iter().take(count).map(|a| a.to_string()).collect::<Vec<_>>().into();
+        config["settings"]["nInstances"] = count.into();
+        process.configure(&config, conf)
+    }
+
     /// What a scheduler's door answers; `None` if it doesn't, or says no.
     pub async fn ask(&self, scheduler: usize, path: &str) -> Option<serde_json::Value> {
         let (status, body) = self.call(scheduler, Method::GET, path).await?;
