Take the walkers' graph out of the module into a crate that both programs can use

Cause: the system's dispatcher needs the same walkers as the program in service, and code is shared, not copied. Change: crates/walkers holds the expander, its walkers and their steps over any vertices; the module's graph.rs keeps only what is about its workers' kinds.

--- a/crates/oatdock/src/choice/walk.rs
+++ b/crates/oatdock/src/choice/walk.rs
@@ -196,11 +196,8 @@
                 drawn.push(w);
             }
         }
+        graph.start_walkers(WALKERS, scene.rng);
         let mut walkers = std::mem::take(&mut graph.walkers);
-        while walkers.len() < WALKERS {
-            let at = graph.cycles[0][below(scene.rng, n)].1;
-            walkers.push(Walker { at, from: u32::MAX });
-        }
         for walker in &mut walkers {
             for _ in 0..=HOPS {
                 if !drawn.contains(&walker.at) && scene.eligible(job, walker.at) {
--- a/crates/oatdock/src/worker.rs
+++ b/crates/oatdock/src/worker.rs
@@ -1,13 +1,12 @@
 //! What is known of a worker: from the list, from its reports, from this dispatcher's own jobs. Nothing is decided here.
 use crate::api::{Entry, Limits, Nanos, Report, Rules, WorkerId, WorkerState};
-use crate::graph::CYCLES;
+use spanlead_walkers::Places;
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A worker that the list has named.
 pub(crate) struct Worker {
     pub id: WorkerId,
-    pub hash: [u64; CYCLES],
+    pub hash: Places,
     pub state: WorkerState,
     pub started: Option<Nanos>,
     pub kind: u32,
@@ -57,7 +56,7 @@
     /// One that was just named; its state and start are still to be taken from the list.
     pub fn new(id: Arc<str>, entry: &Entry<'_>) -> Self {
         Worker {
-            hash: std::array::from_fn(|c| xxh3_64_with_seed(id.as_bytes(), c as u64)),
+            hash: spanlead_walkers::places(id.as_bytes()),
             id: WorkerId(id),
             state: WorkerState::Gone,
             started: None,
