--- /dev/null
+++ b/crates/cluster/src/control/operator.rs
@@ -0,0 +1,74 @@
+//! The operators' interface over HTTP.
+use crate::control::{Input, Reply};
+use async_std::channel::{Sender, bounded};
+use async_std::future::timeout;
+use async_std::task;
+use std::time::Duration;
+use tide::{Request, Response, StatusCode};
+
+/// The version that a configuration builds on.
+const BASE_VERSION: &str = "Spanlead-Base-Version";
+/// How long an answer may take; after that the operator's own bound has passed.
+const ANSWER: Duration = Duration::from_millis(5_000);
+/// The largest configuration, bytes.
+const MAX_BODY: usize = 4 << 20;
+/// Between two tries to listen.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Serves operators at that address.
+pub async fn serve(address: String, inputs: Sender<Input>) {
+    loop {
+        let mut app = tide::with_state(inputs.clone());
+        app.at("/config/replace").post(replace);
+        app.at("/config/get").get(get);
+        if let Err(error) = app.listen(&address).await {
+            log::error!("{address}: {error}");
+        }
+        task::sleep(RETRY).await;
+    }
+}
+
+async fn replace(mut request: Request<Sender<Input>>) -> tide::Result {
+    let base = match request.header(BASE_VERSION).map(|value| value.as_str().trim().parse::<u64>()) {
+        None => 0,
+        Some(Ok(base)) => base,
+        Some(Err(_)) => return Ok(plain(400, "Spanlead-Base-Version: no number")),
+    };
+    let body = request.body_bytes().await?;
+    if body.len() > MAX_BODY {
+        return Ok(plain(413, "too large"));
+    }
+    let Ok(text) = String::from_utf8(body) else { return Ok(plain(400, "no text")) };
+    ask(request.state(), |answers| Input::Replace(base, text, answers)).await
+}
+
+async fn get(request: Request<Sender<Input>>) -> tide::Result {
+    ask(request.state(), Input::Read).await
+}
+
+async fn ask(inputs: &Sender<Input>, input: impl FnOnce(Sender<Reply>) -> Input) -> tide::Result {
+    let (answers, answer) = bounded(1);
+    inputs.send(input(answers)).await?;
+    match timeout(ANSWER, answer.recv()).await {
+        Ok(Ok(reply)) => Ok(response(reply)),
+        // Whether it was taken is not known.
+        _ => Ok(plain(504, "no answer in time")),
+    }
+}
+
+fn response(reply: Reply) -> Response {
+    let mut response = plain(reply.status, &reply.body);
+    if reply.status == 200 {
+        response.set_content_type(tide::http::mime::JSON);
+    }
+    if let Some(location) = reply.location {
+        response.insert_header("Location", location);
+    }
+    response
+}
+
+fn plain(status: u16, body: &str) -> Response {
+    let mut response = Response::new(StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError));
+    response.set_body(body);
+    response
+}
--- /dev/null
+++ b/crates/cluster/src/control/peers.rs
@@ -0,0 +1,80 @@
+//! Connections that others make to this node.
+use crate::control::Input;
+use crate::frame::{Frame, encode};
+use crate::link::read_frame;
+use async_std::channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
+use async_std::io::{BufReader, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use std::time::Duration;
+
+/// Frames that wait for one that does not read; beyond that its connection ends.
+const QUEUE: usize = 4_096;
+/// How long a write may hang.
+const WRITE: Duration = Duration::from_millis(1_000);
+/// Between two tries to listen.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Accepts connections and hands their frames to the node.
+pub async fn serve(address: String, inputs: Sender<Input>) {
+    loop {
+        match TcpListener::bind(&address).await {
+            Ok(listener) => accept(&listener, &inputs).await,
+            Err(error) => log::error!("{address}: {error}"),
+        }
+        task::sleep(RETRY).await;
+    }
+}
+
+async fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                task::spawn(read(stream, inputs.clone()));
+            }
+            Err(error) => {
+                log::warn!("accept: {error}");
+                task::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn read(stream: TcpStream, inputs: Sender<Input>) {
+    let (answers, queue) = bounded(QUEUE);
+    let writer = task::spawn(write(stream.clone(), queue));
+    let mut reader = BufReader::new(stream.clone());
+    loop {
+        match read_frame(&mut reader).await {
+            Ok(frame) => {
+                if inputs.send(Input::Frame(frame, Some(answers.clone()))).await.is_err() {
+                    break;
+                }
+            }
+            Err(error) => {
+                log::debug!("a connection ends: {error}");
+                break;
+            }
+        }
+    }
+    answers.close();
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    writer.cancel().await;
+}
+
+async fn write(mut stream: TcpStream, queue: Receiver<Frame>) {
+    while let Ok(frame) = queue.recv().await {
+        let mut bytes = encode(&frame);
+        while bytes.len() < 64 * 1024
+            && let Ok(more) = queue.try_recv()
+        {
+            bytes.extend(encode(&more));
+        }
+        if !matches!(timeout(WRITE, stream.write_all(&bytes)).await, Ok(Ok(()))) {
+            break;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
--- /dev/null
+++ b/crates/cluster/src/disk.rs
@@ -0,0 +1,176 @@
+//! The data folder: a key-value file with the node's identity, its witness's record and its copy of the key space.
+//!
+//! One thread writes. It takes all records that wait, commits them as one transaction and tells the last one's number.
+use quick_error::quick_error;
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use spanlead_replication::{Change, MemberId, Position, Record, Restored, WitnessRecord};
+use std::path::Path;
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+quick_error! {
+    /// Why the folder can't be used.
+    #[derive(Debug)]
+    pub enum DiskError {
+        /// The store's word.
+        Store(what: String) {
+            display("{}", what)
+        }
+        /// A record that this version can't read.
+        Form(name: &'static str) {
+            display("{}: not of this version", name)
+        }
+    }
+}
+
+impl<T: Into<redb::Error>> From<T> for DiskError {
+    fn from(error: T) -> Self {
+        DiskError::Store(error.into().to_string())
+    }
+}
+
+const ENTRIES: TableDefinition<'_, &[u8], &[u8]> = TableDefinition::new("entries");
+const NODE: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("node");
+const IDENTITY: &str = "identity";
+const WITNESS: &str = "witness";
+const POSITION: &str = "position";
+/// The file in the folder.
+const FILE: &str = "control.redb";
+/// Memory for pages of the file, bytes.
+const CACHE: usize = 4 << 20;
+
+/// The open store.
+#[derive(Debug)]
+pub struct Store {
+    database: Database,
+}
+
+impl Store {
+    /// Opens the folder's file, or makes it.
+    ///
+    /// # Errors
+    /// If it can't be read or written.
+    pub fn open(folder: &Path) -> Result<Self, DiskError> {
+        std::fs::create_dir_all(folder).map_err(|error| DiskError::Store(error.to_string()))?;
+        let database = redb::Builder::new().set_cache_size(CACHE).create(folder.join(FILE))?;
+        Store::with(database)
+    }
+
+    /// A store on any backend, for tests.
+    ///
+    /// # Errors
+    /// If it can't be read or written.
+    pub fn on(backend: impl redb::StorageBackend) -> Result<Self, DiskError> {
+        Store::with(redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend)?)
+    }
+
+    fn with(database: Database) -> Result<Self, DiskError> {
+        let transaction = database.begin_write()?;
+        transaction.open_table(ENTRIES)?;
+        transaction.open_table(NODE)?;
+        transaction.commit()?;
+        Ok(Store { database })
+    }
+
+    /// All that is kept.
+    ///
+    /// # Errors
+    /// If it can't be read.
+    pub fn restore(&self) -> Result<Restored, DiskError> {
+        let transaction = self.database.begin_read()?;
+        let node = transaction.open_table(NODE)?;
+        let mut restored = Restored::default();
+        if let Some(value) = node.get(IDENTITY)? {
+            let bytes = value.value().try_into().map_err(|_| DiskError::Form("identity"))?;
+            restored.identity = Some(MemberId(u64::from_le_bytes(bytes)));
+        }
+        if let Some(value) = node.get(WITNESS)? {
+            restored.witness = rkyv::from_bytes::<WitnessRecord, rkyv::rancor::Error>(value.value())
+                .map_err(|_| DiskError::Form("witness"))?;
+        }
+        if let Some(value) = node.get(POSITION)? {
+            restored.position = rkyv::from_bytes::<Position, rkyv::rancor::Error>(value.value())
+                .map_err(|_| DiskError::Form("position"))?;
+        }
+        for entry in transaction.open_table(ENTRIES)?.iter()? {
+            let (key, value) = entry?;
+            let change = Change { key: key.value().to_vec(), value: Some(value.value().to_vec()) };
+            restored.keyspace.apply(&change);
+        }
+        Ok(restored)
+    }
+
+    /// Brings records to disk, all or none.
+    ///
+    /// # Errors
+    /// If the disk refuses.
+    pub fn write(&self, records: &[Record]) -> Result<(), DiskError> {
+        let mut transaction = self.database.begin_write()?;
+        transaction.set_durability(Durability::Immediate).map_err(|e| DiskError::Store(e.to_string()))?;
+        {
+            let mut node = transaction.open_table(NODE)?;
+            let mut entries = transaction.open_table(ENTRIES)?;
+            for record in records {
+                match record {
+                    Record::Identity(id) => {
+                        node.insert(IDENTITY, id.0.to_le_bytes().as_slice())?;
+                    }
+                    Record::Witness(witness) => {
+                        let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(witness)
+                            .map_err(|_| DiskError::Form("witness"))?;
+                        node.insert(WITNESS, bytes.as_slice())?;
+                    }
+                    Record::Batch { position, changes } => {
+                        let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(position)
+                            .map_err(|_| DiskError::Form("position"))?;
+                        node.insert(POSITION, bytes.as_slice())?;
+                        for change in changes {
+                            match &change.value {
+                                Some(value) => entries.insert(change.key.as_slice(), value.as_slice())?,
+                                None => entries.remove(change.key.as_slice())?,
+                            };
+                        }
+                    }
+                }
+            }
+        }
+        transaction.commit()?;
+        Ok(())
+    }
+}
+
+/// The writing thread.
+#[derive(Debug)]
+pub struct Writer {
+    queue: Sender<(u64, Record)>,
+}
+
+impl Writer {
+    /// Starts the thread; `written` is told the number of the last record on disk. A disk that refuses ends the process:
+    /// what it holds is not known any more, and the next start reads it.
+    #[must_use]
+    pub fn start(store: Store, written: impl Fn(u64) + Send + 'static) -> Self {
+        let (queue, waiting) = channel();
+        std::thread::spawn(move || write_all(&store, &waiting, written));
+        Writer { queue }
+    }
+
+    /// Hands a record over.
+    pub fn write(&self, token: u64, record: Record) {
+        let _ = self.queue.send((token, record));
+    }
+}
+
+fn write_all(store: &Store, waiting: &Receiver<(u64, Record)>, written: impl Fn(u64)) {
+    while let Ok((mut token, record)) = waiting.recv() {
+        let mut records = vec![record];
+        while let Ok((next, record)) = waiting.try_recv() {
+            token = next;
+            records.push(record);
+        }
+        if let Err(error) = store.write(&records) {
+            log::error!("the disk refuses: {error}");
+            std::process::exit(1);
+        }
+        written(token);
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/workers.rs
@@ -0,0 +1,198 @@
+//! Calls to workers over kept connections.
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task;
+use compact_str::CompactString;
+use http_types::{Body, Method, Request, Response, Url, mime};
+use serde::{Deserialize, Serialize};
+use spanlead_jobs::{Call, FinishedTask, Order, Reply, RunningTask, TaskKey, WorkerReport};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How long a connection may take to be made.
+const CONNECT: Duration = Duration::from_millis(700);
+/// Idle connections kept to one worker.
+const KEPT: usize = 8;
+/// The header that names the incarnation that is meant.
+const TARGET: &str = "Spanlead-Target-Instance";
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct StartBody<'a> {
+    task: String,
+    run: u32,
+    spec: &'a str,
+    until_ms: u64,
+    fence_token: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    checkpointed: &'a str,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct StopBody {
+    task: String,
+    run: u32,
+    fence_token: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct HoldBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    until_ms: Option<u64>,
+    fence_token: u64,
+    last_seen: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    wait_ms: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct AnswerBody {
+    clock_ms: u64,
+    reason: CompactString,
+    running: Vec<(CompactString, u32, CompactString, f64)>,
+    finished: Vec<(u64, CompactString, u32, CompactString, CompactString)>,
+    remaining_ms: Option<u64>,
+}
+
+/// Kept connections by address.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerCalls {
+    idle: Arc<Mutex<HashMap<Arc<str>, Vec<TcpStream>>>>,
+}
+
+impl WorkerCalls {
+    /// Makes a call and tells what came of it.
+    pub fn spawn(&self, call: Call, done: impl FnOnce(Call, Reply) + Send + 'static) {
+        let calls = self.clone();
+        task::spawn(async move {
+            let limit = Duration::from_millis(call.timeout_ms);
+            let reply = timeout(limit, calls.call(&call)).await.unwrap_or(Reply::Silence);
+            done(call, reply);
+        });
+    }
+
+    async fn call(&self, call: &Call) -> Reply {
+        let Some(request) = request(call) else { return Reply::Silence };
+        let Some(stream) = self.connection(&call.address).await else { return Reply::Silence };
+        match async_h1::connect(stream.clone(), request).await {
+            Ok(response) => {
+                let closes = response.header("Connection").is_some_and(|v| v.as_str() == "close");
+                let reply = reply(call, response).await;
+                if reply != Reply::Silence && !closes {
+                    self.keep(&call.address, stream);
+                }
+                reply
+            }
+            Err(error) => {
+                log::debug!("{}: {error}", call.address);
+                Reply::Silence
+            }
+        }
+    }
+
+    async fn connection(&self, address: &Arc<str>) -> Option<TcpStream> {
+        let kept = self.lock().get_mut(address).and_then(Vec::pop);
+        if kept.is_some() {
+            return kept;
+        }
+        let stream = timeout(CONNECT, TcpStream::connect(&**address)).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        Some(stream)
+    }
+
+    fn keep(&self, address: &Arc<str>, stream: TcpStream) {
+        let mut idle = self.lock();
+        let kept = idle.entry(address.clone()).or_default();
+        if kept.len() < KEPT {
+            kept.push(stream);
+        }
+    }
+
+    /// Closes all kept connections.
+    pub fn forget(&self) {
+        self.lock().clear();
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Arc<str>, Vec<TcpStream>>> {
+        self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+fn request(call: &Call) -> Option<Request> {
+    let (path, body) = match &call.order {
+        Order::Start { task, run, spec, until_ms, checkpointed } => {
+            let body = StartBody {
+                task: task.to_string(),
+                run: *run,
+                spec,
+                until_ms: *until_ms,
+                fence_token: call.fence,
+                checkpointed,
+            };
+            ("run-start", serde_json::to_vec(&body))
+        }
+        Order::Stop { task, run } => {
+            let body = StopBody { task: task.to_string(), run: *run, fence_token: call.fence };
+            ("run-stop", serde_json::to_vec(&body))
+        }
+        Order::Hold { until_ms, last_seen, wait_ms, .. } => {
+            let body = HoldBody {
+                until_ms: *until_ms,
+                fence_token: call.fence,
+                last_seen: *last_seen,
+                wait_ms: *wait_ms,
+            };
+            ("hold", serde_json::to_vec(&body))
+        }
+    };
+    let url = Url::parse(&format!("http://{}/{path}", call.address)).ok()?;
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(Body::from_bytes(body.ok()?));
+    request.set_content_type(mime::JSON);
+    request.insert_header(TARGET, &*call.worker);
+    Some(request)
+}
+
+async fn reply(call: &Call, mut response: Response) -> Reply {
+    let status = u16::from(response.status());
+    let Ok(bytes) = response.body_bytes().await else { return Reply::Silence };
+    if status == 421 {
+        return Reply::Misdirected;
+    }
+    let body: AnswerBody = match serde_json::from_slice(&bytes) {
+        Ok(body) => body,
+        Err(_) if status != 200 => AnswerBody::default(),
+        Err(error) => {
+            log::warn!("{}: answer can't be read: {error}", call.address);
+            return Reply::Silence;
+        }
+    };
+    match (status, &call.order) {
+        (200, Order::Hold { .. }) => Reply::Report(report(body)),
+        (200, _) => Reply::Done { clock_ms: body.clock_ms },
+        _ => Reply::Refused { status, reason: body.reason },
+    }
+}
+
+fn report(body: AnswerBody) -> WorkerReport {
+    let running = body.running.into_iter().filter_map(|(task, run, saved, percent)| {
+        Some(RunningTask { task: TaskKey::read(&task)?, run, saved, percent })
+    });
+    let finished = body.finished.into_iter().filter_map(|(number, task, run, how, saved)| {
+        Some(FinishedTask { number, task: TaskKey::read(&task)?, run, how, saved })
+    });
+    WorkerReport {
+        clock_ms: body.clock_ms,
+        running: running.collect(),
+        finished: finished.collect(),
+        remaining_ms: body.remaining_ms,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/recover.rs
@@ -0,0 +1,109 @@
+//! Going on from the records of an earlier scheduler.
+use crate::clock::WorkerClock;
+use crate::job::{Job, Phase, Run};
+use crate::record::{ClosedRecord, JobRecord, Key, TaskKey, TaskRecord};
+use crate::scheduler::{Now, Scheduler};
+use crate::worker::Worker;
+
+impl Scheduler {
+    /// Takes over all records. What was running counts as running until the workers are heard.
+    pub fn recover<'a>(&mut self, now: Now, entries: impl Iterator<Item = (&'a [u8], &'a [u8])>) {
+        let mut closed = Vec::new();
+        let mut tasks = Vec::new();
+        for (key, value) in entries {
+            match Key::decode(key) {
+                Some(Key::Job(id)) => {
+                    if let Some(record) = JobRecord::decode(value) {
+                        self.jobs.insert(id, Job::new(record));
+                    }
+                }
+                Some(Key::Closed(id)) => closed.extend(ClosedRecord::decode(value).map(|c| (id, c))),
+                Some(Key::Task(key)) => tasks.extend(TaskRecord::decode(value).map(|t| (key, t))),
+                None => {}
+            }
+        }
+        for (id, record) in closed {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.closed = Some((record.outcome, record.at));
+            }
+            self.note_closed(record.at, id);
+        }
+        for (key, record) in tasks {
+            self.restore_task(now, key, record);
+        }
+        let ids: Vec<u64> = self.jobs.keys().copied().collect();
+        for id in ids {
+            self.resume(now, id);
+        }
+    }
+
+    fn restore_task(&mut self, now: Now, key: TaskKey, record: TaskRecord) {
+        let need = self.need(key);
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        job.touched = true;
+        let Some(step) = job.occurrence(key.occurrence).stages.get_mut(usize::from(key.stage)) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
+        task.last_run = record.run;
+        task.failed = record.failed;
+        task.saved = record.saved.into();
+        if record.done {
+            task.done = true;
+            step.remaining -= 1;
+        }
+        for (run, worker) in record.active {
+            let worker = self.placeholder(now, &worker);
+            let Some(task) = self.task_mut(key) else { return };
+            task.active.push(Run {
+                run,
+                worker,
+                phase: Phase::Unknown,
+                settled: None,
+                ordered_at: now.steady,
+                percent: 0.0,
+                progress_at: now.steady,
+                started_at: now.steady,
+                saved: Default::default(),
+                stopping: false,
+                stop_sent_at: 0,
+            });
+            let worker = &mut self.workers[worker as usize];
+            worker.used = worker.used.plus(need);
+            worker.runs.insert((key, run));
+        }
+    }
+
+    /// A worker that only the records name, until the list is read.
+    fn placeholder(&mut self, now: Now, id: &str) -> u32 {
+        if let Some(at) = self.index.get(id) {
+            return *at;
+        }
+        let clock = WorkerClock::unknown(now.steady, self.bounds.max_hold_ms);
+        self.add_worker(Worker::new(id, clock, now.steady))
+    }
+
+    fn resume(&mut self, now: Now, id: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.closed.is_some() {
+            self.stop_all(now.steady, id);
+            return;
+        }
+        let queue = job.record.queue.clone();
+        let begun = job.occurrences.keys().next_back().map_or(0, |last| last + 1);
+        job.next_occurrence = begun;
+        for number in 0..begun {
+            job.occurrence(number);
+        }
+        job.finished = job.occurrences.values().filter(|o| o.done()).count() as u32;
+        *self.pending.entry(queue).or_default() += 1;
+        for number in 0..begun {
+            self.open_stages(now, id, number);
+        }
+        self.begin_due(now, id);
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.finished >= job.record.spec.times() {
+            self.close(now, id, crate::job::Outcome::Succeeded);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler.rs
@@ -0,0 +1,403 @@
+//! The scheduler: what clients ask for, what time brings, and what must be written before it is seen.
+use crate::effect::{Call, Effect, Order};
+use crate::events::{Event, Journal};
+use crate::job::{Job, Outcome, Phase, State};
+use crate::placement::Graphs;
+use crate::record::{JobRecord, Key, Queue, TaskKey};
+use crate::spec::JobSpec;
+use crate::worker::{HoldState, Worker};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Bounds of the deployment, milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The longest that a worker holds what runs there.
+    pub max_hold_ms: u64,
+    /// How long a gang's members wait for one another.
+    pub gang_ms: u64,
+    /// How long a stop takes at most.
+    pub stop_ms: u64,
+    /// How long the state of a job that is over is told.
+    pub status_ms: u64,
+    /// How many times as long a task takes far from its data.
+    pub far_factor: f64,
+}
+
+/// The time: our steady clock and the time of day, milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// A clock that never jumps.
+    pub steady: u64,
+    /// Milliseconds since 1970.
+    pub unix: u64,
+}
+
+/// What a job's queue says of it.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// The queue.
+    pub queue: Queue,
+    /// Whose workers run it.
+    pub service: String,
+    /// 0 comes first.
+    pub priority: u8,
+    /// Failed runs after which a task is given up.
+    pub max_attempts: u32,
+}
+
+/// Whether a job was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It was, now or before.
+    Accepted,
+    /// There is no room for its record, and it will never run.
+    Full,
+}
+
+/// Changes of the key space: keys with their new values.
+pub type Write = Vec<(Vec<u8>, Option<Vec<u8>>)>;
+
+/// The place of what waits to be placed: priority, when it came, which task.
+pub(crate) type ReadyKey = (u8, u64, TaskKey);
+
+/// What waits for a write to last.
+#[derive(Clone, Copy, Debug)]
+enum Staged {
+    Start(TaskKey, u32),
+    Hold(u32),
+}
+
+/// Jobs that are not over, at most.
+const MAX_LIVE: usize = 30_000;
+/// How long a start may go unanswered, milliseconds.
+const START_TIMEOUT_MS: u64 = 1_000;
+/// How far ahead of the worker's clock a start may be carried out, milliseconds.
+const START_AHEAD_MS: u64 = 2_000;
+
+/// Jobs, workers, and what goes where.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) bounds: Bounds,
+    pub(crate) fence: u64,
+    pub(crate) term_began: u64,
+    pub(crate) jobs: FxHashMap<u64, Job>,
+    pub(crate) pending: FxHashMap<Queue, u64>,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) index: FxHashMap<Arc<str>, u32>,
+    pub(crate) graphs: Graphs,
+    /// What waits to be placed, with the time since when.
+    pub(crate) ready: BTreeMap<ReadyKey, u64>,
+    pub(crate) timed: BTreeSet<(u64, u64, u32)>,
+    pub(crate) room_changed: bool,
+    pub(crate) listed_at: Option<u64>,
+    pub(crate) serial: u64,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) journal: Journal,
+    pub(crate) stopping: BTreeSet<(TaskKey, u32)>,
+    pub(crate) touched: BTreeSet<Key>,
+    pub(crate) unix: u64,
+    staged: Vec<Staged>,
+    waiting: VecDeque<(u64, Staged)>,
+    effects: Vec<Effect>,
+    closed: VecDeque<(u64, u64)>,
+    watched_at: u64,
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing, with its fencing token.
+    #[must_use]
+    pub fn new(bounds: Bounds, fence: u64, seed: u64, now: Now) -> Self {
+        Scheduler {
+            bounds,
+            fence,
+            term_began: now.steady,
+            jobs: FxHashMap::default(),
+            pending: FxHashMap::default(),
+            workers: Vec::new(),
+            index: FxHashMap::default(),
+            graphs: Graphs::default(),
+            ready: BTreeMap::new(),
+            timed: BTreeSet::new(),
+            room_changed: false,
+            listed_at: None,
+            serial: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            journal: Journal::default(),
+            stopping: BTreeSet::new(),
+            touched: BTreeSet::new(),
+            unix: now.unix,
+            staged: Vec::new(),
+            waiting: VecDeque::new(),
+            effects: Vec::new(),
+            closed: VecDeque::new(),
+            watched_at: 0,
+        }
+    }
+
+    // Clients.
+
+    /// Takes a job, once however often it comes.
+    pub fn submit(&mut self, now: Now, id: u64, terms: Terms, spec: JobSpec) -> Admission {
+        if self.jobs.contains_key(&id) {
+            return Admission::Accepted;
+        }
+        if self.pending.values().sum::<u64>() as usize >= MAX_LIVE {
+            return Admission::Full;
+        }
+        let record = JobRecord {
+            queue: terms.queue,
+            service: terms.service,
+            priority: terms.priority,
+            max_attempts: terms.max_attempts.max(1),
+            accepted_at: now.unix,
+            spec,
+        };
+        self.record(now.steady, Event::Accepted { job: id, record: Box::new(record) });
+        self.begin_due(now, id);
+        Admission::Accepted
+    }
+
+    /// A job's state; `None` if there is no such job.
+    #[must_use]
+    pub fn state(&self, id: u64) -> Option<State> {
+        self.jobs.get(&id).map(Job::state)
+    }
+
+    /// Cancels a job; `false` if there is no such job.
+    pub fn cancel(&mut self, now: Now, id: u64) -> bool {
+        match self.jobs.get(&id) {
+            None => return false,
+            Some(job) if job.closed.is_some() => return true,
+            Some(_) => {}
+        }
+        self.close(now, id, Outcome::Cancelled);
+        true
+    }
+
+    /// How many jobs of a queue are not over.
+    #[must_use]
+    pub fn pending(&self, queue: &Queue) -> u64 {
+        self.pending.get(queue).copied().unwrap_or(0)
+    }
+
+    /// How many jobs are known, how many units wait to be placed, how many runs are out, how many events there were.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize, usize, u64) {
+        let runs = self.workers.iter().map(|w| w.runs.len()).sum();
+        (self.jobs.len(), self.ready.len(), runs, self.journal.count())
+    }
+
+    // Time.
+
+    /// Does what the time asks for.
+    pub fn tick(&mut self, now: Now) {
+        self.unix = now.unix;
+        self.begin_times(now);
+        self.expire_workers(now);
+        self.place_ready(now);
+        self.resend_stops(now.steady);
+        self.send_holds(now.steady);
+        if now.steady >= self.watched_at + WATCH_EVERY_MS {
+            self.watched_at = now.steady;
+            self.watch_progress(now);
+            self.fail_impossible(now);
+            self.forget_closed(now);
+        }
+    }
+
+    /// Begins the times of timed jobs that are due.
+    fn begin_times(&mut self, now: Now) {
+        while let Some((due, id, _)) = self.timed.first().copied() {
+            if due > now.unix {
+                break;
+            }
+            self.timed.pop_first();
+            self.begin_due(now, id);
+        }
+    }
+
+    /// Begins all times of a job that are due, and notes when the next is.
+    pub(crate) fn begin_due(&mut self, now: Now, id: u64) {
+        while let Some(job) = self.jobs.get_mut(&id) {
+            let number = job.next_occurrence;
+            if job.closed.is_some() || number >= job.record.spec.times() {
+                return;
+            }
+            let due = job.record.spec.due(number);
+            if due > now.unix {
+                self.timed.insert((due, id, number));
+                return;
+            }
+            job.next_occurrence += 1;
+            job.occurrence(number);
+            self.open_stages(now, id, number);
+        }
+    }
+
+    /// Makes the steps ready whose turn has come.
+    pub(crate) fn open_stages(&mut self, now: Now, id: u64, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let order = job.record.spec.due(occurrence).max(job.record.accepted_at);
+        let priority = job.record.priority;
+        let Some(steps) = job.occurrences.get_mut(&occurrence) else { return };
+        let mut units = Vec::new();
+        for (number, stage) in job.record.spec.stages.iter().enumerate() {
+            let ready =
+                |before: &u16| steps.stages.get(usize::from(*before)).is_some_and(|s| s.remaining == 0);
+            if steps.stages[number].open || !stage.depends_on.iter().all(ready) {
+                continue;
+            }
+            steps.stages[number].open = true;
+            let count = if stage.gang { 1 } else { stage.count };
+            let key = |index| TaskKey { job: id, occurrence, stage: number as u16, index };
+            let open = |index: &u32| {
+                let task = &steps.stages[number].tasks[*index as usize];
+                !task.done && task.active.is_empty()
+            };
+            units.extend((0..count).filter(open).map(key));
+        }
+        for key in units {
+            self.ready.insert((priority, order, key), now.steady);
+            self.room_changed = true;
+        }
+    }
+
+    /// Puts a task, or its gang, back among what waits.
+    pub(crate) fn make_ready(&mut self, now: u64, key: TaskKey) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if job.closed.is_some() {
+            return;
+        }
+        let order = job.record.spec.due(key.occurrence).max(job.record.accepted_at);
+        let gang = self.stage(key).is_some_and(|stage| stage.gang);
+        let key = if gang { TaskKey { index: 0, ..key } } else { key };
+        self.ready.entry((job.record.priority, order, key)).or_insert(now);
+        self.room_changed = true;
+    }
+
+    /// Ends a job: nothing of it starts any more, and what runs is stopped.
+    pub(crate) fn close(&mut self, now: Now, id: u64, outcome: Outcome) {
+        self.record(now.steady, Event::Closed { job: id, outcome, at: now.unix });
+        self.closed.push_back((now.unix, id));
+        self.ready.retain(|(_, _, key), _| key.job != id);
+        self.timed.retain(|(_, job, _)| *job != id);
+        self.stop_all(now.steady, id);
+    }
+
+    /// Forgets jobs whose end has been told for long enough.
+    fn forget_closed(&mut self, now: Now) {
+        while let Some((at, id)) = self.closed.front().copied() {
+            if now.unix < at + self.bounds.status_ms + FORGET_SLACK_MS {
+                break;
+            }
+            self.closed.pop_front();
+            let idle = |job: &Job| {
+                let steps = job.occurrences.values().flat_map(|o| &o.stages).flat_map(|s| &s.tasks);
+                steps.into_iter().all(|task| task.active.is_empty())
+            };
+            if self.jobs.get(&id).is_some_and(idle) {
+                self.record(now.steady, Event::Forgotten { job: id });
+            } else if self.jobs.contains_key(&id) {
+                self.closed.push_back((now.unix, id));
+            }
+        }
+    }
+
+    pub(crate) fn note_closed(&mut self, at: u64, id: u64) {
+        self.closed.push_back((at, id));
+    }
+
+    // Writing, then acting.
+
+    /// The changes since this was last asked. What depends on them goes out when they last.
+    pub fn take_write(&mut self) -> Write {
+        self.encode_touched()
+    }
+
+    /// The number of the batch that holds everything up to now.
+    pub fn written_as(&mut self, sequence: u64) {
+        self.waiting.extend(self.staged.drain(..).map(|staged| (sequence, staged)));
+    }
+
+    /// Everything up to this batch lasts.
+    pub fn committed(&mut self, now: Now, sequence: u64) {
+        while self.waiting.front().is_some_and(|(at, _)| *at <= sequence) {
+            let Some((_, staged)) = self.waiting.pop_front() else { break };
+            match staged {
+                Staged::Start(task, run) => self.send_start(now, task, run),
+                Staged::Hold(worker) => {
+                    let held = &mut self.workers[worker as usize];
+                    held.last_seen = held.last_seen.max(held.taken);
+                    if held.hold == HoldState::Recording {
+                        held.hold = HoldState::Idle;
+                        held.hold_at = now.steady;
+                    }
+                }
+            }
+        }
+        self.send_holds(now.steady);
+    }
+
+    /// What is to be done since this was last asked.
+    pub fn drain(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Starts a recorded run once its record lasts.
+    pub(crate) fn stage_start(&mut self, task: TaskKey, run: u32) {
+        self.staged.push(Staged::Start(task, run));
+    }
+
+    /// Lets a worker forget the ends that were taken once their records last.
+    pub(crate) fn stage_hold(&mut self, worker: u32) {
+        self.staged.push(Staged::Hold(worker));
+    }
+
+    fn send_start(&mut self, now: Now, key: TaskKey, run: u32) {
+        let lives = self.lives(key);
+        let Some(held) = self.run_mut(key, run) else { return };
+        let worker = held.worker;
+        if !lives || held.stopping {
+            return self.end_run(now, key, run, crate::events::End::Void, "");
+        }
+        held.phase = Phase::Ordered;
+        held.ordered_at = now.steady;
+        let text = self.jobs[&key.job].text.clone();
+        let checkpointed = self.checkpoint(key);
+        let target = &mut self.workers[worker as usize];
+        let Some(until_ms) = target.clock.allow(now.steady, START_AHEAD_MS) else {
+            return self.end_run(now, key, run, crate::events::End::Void, "");
+        };
+        let order = Order::Start { task: key, run, spec: text, until_ms, checkpointed };
+        self.call(worker, order, START_TIMEOUT_MS);
+    }
+
+    /// Where a task goes on from; all of a gang from the same point.
+    fn checkpoint(&self, key: TaskKey) -> compact_str::CompactString {
+        let Some(stage) = self.stage(key) else { return Default::default() };
+        if !stage.checkpoints {
+            return Default::default();
+        }
+        let source = if stage.gang { TaskKey { index: 0, ..key } } else { key };
+        self.task(source).map(|task| task.saved.clone()).unwrap_or_default()
+    }
+
+    /// A call to a worker.
+    pub(crate) fn call(&mut self, worker: u32, order: Order, timeout_ms: u64) {
+        let target = &self.workers[worker as usize];
+        if target.address.is_empty() {
+            return;
+        }
+        let (worker, address) = (target.id.clone(), target.address.clone());
+        self.effects.push(Effect::Call(Call { worker, address, order, timeout_ms, fence: self.fence }));
+    }
+}
+
+/// How often progress and hopeless work are looked at, milliseconds.
+const WATCH_EVERY_MS: u64 = 250;
+/// How much longer than asked a job's end is told, milliseconds.
+const FORGET_SLACK_MS: u64 = 10_000;
--- /dev/null
+++ b/crates/jobs/src/stops.rs
@@ -0,0 +1,71 @@
+//! Runs that must end.
+use crate::effect::Order;
+use crate::job::Phase;
+use crate::record::TaskKey;
+use crate::scheduler::Scheduler;
+
+/// How long a stop may go unanswered before it is sent again, milliseconds.
+const STOP_AGAIN_MS: u64 = 600;
+
+impl Scheduler {
+    /// Stops all that runs of a job.
+    pub(crate) fn stop_all(&mut self, now: u64, id: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut runs = Vec::new();
+        for (occurrence, steps) in &job.occurrences {
+            for (stage, step) in steps.stages.iter().enumerate() {
+                for (index, task) in step.tasks.iter().enumerate() {
+                    let (stage, index) = (stage as u16, index as u32);
+                    let key = TaskKey { job: id, occurrence: *occurrence, stage, index };
+                    runs.extend(task.active.iter().map(|run| (key, run.run)));
+                }
+            }
+        }
+        for (key, run) in runs {
+            self.stop_run(now, key, run);
+        }
+    }
+
+    /// Stops all runs of a task.
+    pub(crate) fn stop_task(&mut self, now: u64, key: TaskKey) {
+        let runs: Vec<u32> = self.task(key).iter().flat_map(|task| &task.active).map(|run| run.run).collect();
+        for run in runs {
+            self.stop_run(now, key, run);
+        }
+    }
+
+    /// Stops a run. One that was not ordered yet ends when its record lasts.
+    pub(crate) fn stop_run(&mut self, now: u64, key: TaskKey, run: u32) {
+        let Some(held) = self.run_mut(key, run) else { return };
+        if held.stopping {
+            return;
+        }
+        held.stopping = true;
+        if held.phase == Phase::Recorded {
+            return;
+        }
+        held.stop_sent_at = now;
+        let worker = held.worker;
+        self.stopping.insert((key, run));
+        self.call(worker, Order::Stop { task: key, run }, STOP_AGAIN_MS);
+    }
+
+    /// Says it again to workers that did not answer.
+    pub(crate) fn resend_stops(&mut self, now: u64) {
+        let wanted: Vec<_> = self.stopping.iter().copied().collect();
+        for (key, run) in wanted {
+            let Some(held) = self.run_mut(key, run) else {
+                self.stopping.remove(&(key, run));
+                continue;
+            };
+            if now < held.stop_sent_at + STOP_AGAIN_MS {
+                continue;
+            }
+            held.stop_sent_at = now;
+            let worker = held.worker;
+            if self.workers[worker as usize].reachable {
+                self.call(worker, Order::Stop { task: key, run }, STOP_AGAIN_MS);
+            }
+        }
+    }
+}
