Let connections ping: a data plane hears of a new primary though its connection died silently

Ruled out: the failover itself (served again 1.1 s after the cut). Change: whoever dialled pings each 500 ms and is answered; silence of 1.6 s ends the connection.

--- a/crates/cluster/src/control/peers.rs
+++ b/crates/cluster/src/control/peers.rs
@@ -48,6 +48,9 @@
     let mut reader = BufReader::new(stream.clone());
     loop {
         match read_frame(&mut reader).await {
+            Ok(Frame::Ping) => {
+                let _ = answers.try_send(Frame::Ping);
+            }
             Ok(frame) => {
                 if inputs.send(Input::Frame(frame, Some(answers.clone()))).await.is_err() {
                     break;
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -15,9 +15,13 @@
 const WRITE: Duration = Duration::from_millis(1_000);
 /// Between two tries to connect.
 const RETRY: Duration = Duration::from_millis(100);
+/// How often a connection with nothing to say shows that it is alive.
+const PING: Duration = Duration::from_millis(500);
+/// Silence after which a connection counts as lost: its other side answers pings.
+const SILENCE: Duration = Duration::from_millis(1_600);
 /// Frames that wait for a connection; beyond that they are dropped.
 const QUEUE: usize = 4_096;
-/// How long a link without anything to say stays.
+/// How long an address that nobody has anything to say to is remembered.
 const IDLE: Duration = Duration::from_secs(20);
 
 /// Reads one frame.
@@ -119,18 +123,22 @@
         if !matches!(timeout(WRITE, stream.write_all(&next)).await, Ok(Ok(()))) {
             break;
         }
-        next = match queue.recv().await {
-            Ok(bytes) => bytes,
-            Err(_) => break,
+        next = match timeout(PING, queue.recv()).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(_)) => break,
+            Err(_) => encode(&Frame::Ping),
         };
     }
     let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
-/// Reads frames until the connection ends, which ends the writing too.
+/// Reads frames until the connection ends or falls silent, which ends the writing too.
 async fn read_all(address: String, stream: TcpStream, events: Sender<LinkEvent>) {
     let mut reader = async_std::io::BufReader::new(stream.clone());
-    while let Ok(frame) = read_frame(&mut reader).await {
+    while let Ok(Ok(frame)) = timeout(SILENCE, read_frame(&mut reader)).await {
+        if frame == Frame::Ping {
+            continue;
+        }
         if events.send(LinkEvent::Frame(address.clone(), frame)).await.is_err() {
             break;
         }
