--- a/crates/cluster/src/control/mod.rs
+++ b/crates/cluster/src/control/mod.rs
@@ -60,7 +60,7 @@
     let clock = Clock::start();
     let (inputs, inbox) = unbounded();
     let written = inputs.clone();
-    let writer = Writer::start(store, move |token| {
+    let writer = Writer::start(store, folder, move |token| {
         let _ = written.try_send(Input::Written(token));
     });
     let (link_events, link_inbox) = unbounded();
--- a/crates/cluster/src/control/node.rs
+++ b/crates/cluster/src/control/node.rs
@@ -15,9 +15,9 @@
 use std::sync::Arc;
 
 /// How long a lease lasts, milliseconds.
-const LEASE_MS: u64 = 1_200;
+const LEASE_MS: u64 = 700;
 /// How often it is asked for, milliseconds.
-const HEARTBEAT_MS: u64 = 250;
+const HEARTBEAT_MS: u64 = 150;
 /// How often the platform's list is read, milliseconds.
 const LIST_EVERY_MS: u64 = 1_000;
 /// How soon after a failed read it is tried again, milliseconds.
@@ -297,7 +297,7 @@
     }
 
     fn propose(&mut self, changes: Vec<Change>) {
-        let sequence = self.replica.propose(changes);
+        let sequence = self.replica.propose(self.clock.steady(), changes);
         if let (Some(sequence), Some(serving)) = (sequence, &mut self.serving) {
             serving.sequence = sequence;
         }
--- a/crates/cluster/src/data/core_links.rs
+++ b/crates/cluster/src/data/core_links.rs
@@ -158,6 +158,8 @@
                 let mut inner = self.lock();
                 if directory.epoch > inner.directory.epoch {
                     log::debug!("view {}: primary {}", directory.epoch, directory.primary);
+                    // Another machine serves: what was asked elsewhere is asked there.
+                    inner.calls.retain(|_, (node, _)| *node == directory.primary);
                     inner.directory = directory;
                 }
             }
--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -4,8 +4,9 @@
 use quick_error::quick_error;
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
 use spanlead_replication::{Change, MemberId, Position, Record, Restored, WitnessRecord};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 quick_error! {
     /// Why the folder can't be used.
@@ -35,6 +36,8 @@
 const POSITION: &str = "position";
 /// The file in the folder.
 const FILE: &str = "control.redb";
+/// How long after a refusal the disk is tried again.
+const AGAIN: Duration = Duration::from_millis(250);
 /// Memory for pages of the file, bytes.
 const CACHE: usize = 4 << 20;
 
@@ -145,12 +148,13 @@
 }
 
 impl Writer {
-    /// Starts the thread; `written` is told the number of the last record on disk. A disk that refuses ends the process:
-    /// what it holds is not known any more, and the next start reads it.
+    /// Starts the thread; `written` is told the number of the last record on disk. A disk that refuses is tried again:
+    /// the file is opened anew, since after a failed sync nobody knows what it holds, and all records of the failed
+    /// transaction are written once more.
     #[must_use]
-    pub fn start(store: Store, written: impl Fn(u64) + Send + 'static) -> Self {
+    pub fn start(store: Store, folder: PathBuf, written: impl Fn(u64) + Send + 'static) -> Self {
         let (queue, waiting) = channel();
-        std::thread::spawn(move || write_all(&store, &waiting, written));
+        std::thread::spawn(move || write_all(store, &folder, &waiting, written));
         Writer { queue }
     }
 
@@ -160,17 +164,29 @@
     }
 }
 
-fn write_all(store: &Store, waiting: &Receiver<(u64, Record)>, written: impl Fn(u64)) {
+fn write_all(store: Store, folder: &Path, waiting: &Receiver<(u64, Record)>, written: impl Fn(u64)) {
+    let mut store = Some(store);
     while let Ok((mut token, record)) = waiting.recv() {
         let mut records = vec![record];
         while let Ok((next, record)) = waiting.try_recv() {
             token = next;
             records.push(record);
         }
-        if let Err(error) = store.write(&records) {
+        while let Err(error) = write_once(&mut store, folder, &records) {
             log::error!("the disk refuses: {error}");
-            std::process::exit(1);
+            std::thread::sleep(AGAIN);
         }
         written(token);
     }
 }
+
+/// Writes to the open file, or opens it first. After an error it is closed.
+fn write_once(store: &mut Option<Store>, folder: &Path, records: &[Record]) -> Result<(), DiskError> {
+    let open = match store.take() {
+        Some(open) => open,
+        None => Store::open(folder)?,
+    };
+    open.write(records)?;
+    *store = Some(open);
+    Ok(())
+}
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -72,6 +72,8 @@
     pub gang_ms: Option<f64>,
     /// How long a stop takes, milliseconds.
     pub stop_ms: Option<f64>,
+    /// How long a task needs to go on from a checkpoint, milliseconds.
+    pub restore_ms: Option<f64>,
     /// How long a job's end is told, seconds.
     pub status_s: Option<f64>,
     /// How many times as long a task takes far from its data.
@@ -195,6 +197,7 @@
             max_hold_ms: given(|b| b.max_hold_ms, 6_000.0) as u64,
             gang_ms: given(|b| b.gang_ms, 3_000.0) as u64,
             stop_ms: given(|b| b.stop_ms, 400.0) as u64,
+            restore_ms: given(|b| b.restore_ms, 600.0) as u64,
             status_ms: (given(|b| b.status_s, 120.0) * 1_000.0) as u64,
             far_factor: given(|b| b.far_x, 1.0),
         }
--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -7,10 +7,14 @@
 use crate::worker::{HoldState, Standing};
 use std::collections::BTreeSet;
 
-/// How long a hold waits for an end, milliseconds.
-const HOLD_WAIT_MS: u64 = 2_000;
+/// How long a hold waits for an end where something runs, milliseconds.
+const HOLD_WAIT_MS: u64 = 600;
+/// How long it waits where nothing does, milliseconds.
+const IDLE_WAIT_MS: u64 = 1_500;
 /// How long a call may take beyond that, milliseconds.
-const HOLD_TIMEOUT_MS: u64 = 1_000;
+const HOLD_TIMEOUT_MS: u64 = 400;
+/// How long everything on a worker is held at a time, milliseconds: what is cut off is known to be over after this.
+const HOLD_MS: u64 = 4_000;
 /// Between two tries to reach a worker that does not answer, milliseconds.
 const RETRY_MS: u64 = 400;
 /// How long a worker that turned a start away for want of room is left alone, milliseconds.
@@ -31,7 +35,7 @@
         }
         match &reply {
             Reply::Misdirected => return self.lose_worker(now, at),
-            Reply::Silence => self.missed(now, at, matches!(order, Order::Hold { .. })),
+            Reply::Silence => self.missed(now, at),
             Reply::Done { clock_ms } => self.heard(now, at, *clock_ms),
             Reply::Report(report) => self.heard(now, at, report.clock_ms),
             Reply::Refused { .. } => {}
@@ -53,11 +57,11 @@
         }
     }
 
-    fn missed(&mut self, now: Now, at: u32, hold: bool) {
+    fn missed(&mut self, now: Now, at: u32) {
         let worker = &mut self.workers[at as usize];
         worker.misses += 1;
         worker.avoided_until = worker.avoided_until.max(now.steady + FULL_MS);
-        if hold || worker.misses >= MISSES {
+        if worker.misses >= MISSES {
             worker.reachable = false;
         }
     }
@@ -117,7 +121,7 @@
 
     fn hold_order(&mut self, now: u64, at: u32, wait_ms: u64) -> Order {
         self.serial += 1;
-        let hold_ms = self.bounds.max_hold_ms;
+        let hold_ms = self.bounds.max_hold_ms.min(HOLD_MS);
         let worker = &mut self.workers[at as usize];
         let until_ms = worker.clock.allow(now, hold_ms);
         Order::Hold { serial: self.serial, until_ms, last_seen: worker.last_seen, wait_ms }
@@ -131,7 +135,11 @@
             if !due || worker.standing == Standing::Gone || worker.address.is_empty() {
                 continue;
             }
-            let wait_ms = if worker.fenced && worker.reachable { HOLD_WAIT_MS } else { 0 };
+            let wait_ms = match worker.fenced && worker.reachable && worker.misses == 0 {
+                false => 0,
+                true if worker.runs.is_empty() => IDLE_WAIT_MS,
+                true => HOLD_WAIT_MS,
+            };
             let order = self.hold_order(now, at, wait_ms);
             let worker = &mut self.workers[at as usize];
             worker.hold = HoldState::Out;
@@ -145,7 +153,7 @@
         if serial == worker.hold_serial {
             worker.hold = HoldState::Idle;
             let well = matches!(reply, Reply::Report(_));
-            worker.hold_at = now.steady + if well { 0 } else { RETRY_MS };
+            worker.hold_at = now.steady + if well || worker.reachable { 0 } else { RETRY_MS };
         }
         if let Reply::Report(report) = reply {
             self.take_report(now, at, serial, &report);
@@ -219,6 +227,7 @@
             if !running.saved.is_empty() {
                 held.saved = running.saved.clone();
             }
+            held.told_at = now.steady;
             if running.percent > held.percent {
                 held.percent = running.percent;
                 held.progress_at = now.steady;
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -111,6 +111,7 @@
             percent: 0.0,
             progress_at: now,
             started_at: now,
+            told_at: now,
             saved: CompactString::default(),
             stopping: false,
             stop_sent_at: 0,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -53,6 +53,8 @@
     pub percent: f64,
     pub progress_at: u64,
     pub started_at: u64,
+    /// When the worker last listed it.
+    pub told_at: u64,
     pub saved: CompactString,
     pub stopping: bool,
     pub stop_sent_at: u64,
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -64,6 +64,7 @@
                 percent: 0.0,
                 progress_at: now.steady,
                 started_at: now.steady,
+                told_at: now.steady,
                 saved: Default::default(),
                 stopping: false,
                 stop_sent_at: 0,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -21,6 +21,8 @@
     pub gang_ms: u64,
     /// How long a stop takes at most.
     pub stop_ms: u64,
+    /// How long a task needs to go on from a checkpoint.
+    pub restore_ms: u64,
     /// How long the state of a job that is over is told.
     pub status_ms: u64,
     /// How many times as long a task takes far from its data.
@@ -74,9 +76,9 @@
 /// Jobs that are not over, at most.
 const MAX_LIVE: usize = 30_000;
 /// How long a start may go unanswered, milliseconds.
-const START_TIMEOUT_MS: u64 = 1_000;
+const START_TIMEOUT_MS: u64 = 300;
 /// How far ahead of the worker's clock a start may be carried out, milliseconds.
-const START_AHEAD_MS: u64 = 2_000;
+const START_AHEAD_MS: u64 = 1_500;
 
 /// Jobs, workers, and what goes where.
 #[derive(Debug)]
--- a/crates/jobs/src/stops.rs
+++ b/crates/jobs/src/stops.rs
@@ -5,7 +5,7 @@
 use crate::scheduler::Scheduler;
 
 /// How long a stop may go unanswered before it is sent again, milliseconds.
-const STOP_AGAIN_MS: u64 = 600;
+const STOP_AGAIN_MS: u64 = 300;
 
 impl Scheduler {
     /// Stops all that runs of a job.
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -1,7 +1,7 @@
 //! What a primary knows: its lease, its followers, and the change of view that is under way.
 use crate::keyspace::{Keyspace, Part, RANGES, root_of};
 use crate::view::{Ballot, Member, MemberId, View};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A follower's session as the primary sees it.
 #[derive(Debug)]
@@ -13,6 +13,13 @@
     pub acked: Option<u64>,
 }
 
+impl Session {
+    /// All up to this batch is on the follower's disk.
+    pub fn acknowledge(&mut self, sequence: u64) {
+        self.acked = Some(self.acked.map_or(sequence, |acked| acked.max(sequence)));
+    }
+}
+
 /// A machine that follows and is no member yet.
 #[derive(Debug)]
 pub(crate) struct Learner {
@@ -32,6 +39,8 @@
 pub(crate) struct Patience {
     /// Silence after which a replica leaves the in-sync set.
     pub silent_ms: u64,
+    /// How long a batch may go without a replica's acknowledgement before it leaves the in-sync set.
+    pub stalled_ms: u64,
     /// Silence after which a member may be replaced by another machine.
     pub gone_ms: u64,
 }
@@ -50,6 +59,8 @@
     pub won_at: u64,
     pub heartbeat_at: u64,
     pub sequence: u64,
+    /// Batches that are not committed, with the times when they were sent.
+    pub sent: VecDeque<(u64, u64)>,
     /// The last batch on the own disk.
     pub synced: u64,
     pub committed: u64,
@@ -79,6 +90,7 @@
             won_at: now,
             heartbeat_at: 0,
             sequence,
+            sent: VecDeque::new(),
             synced,
             committed: 0,
             active: false,
@@ -205,7 +217,9 @@
     }
 
     fn drop_silent(&self, me: MemberId, losses: usize, patience: &Patience, now: u64) -> Option<View> {
-        let silent = |id: &MemberId| *id != me && self.silence(*id, now) > patience.silent_ms;
+        let silent = |id: &MemberId| {
+            *id != me && (self.silence(*id, now) > patience.silent_ms || self.stalls(*id, patience, now))
+        };
         if !self.view.in_sync.iter().any(silent) {
             return None;
         }
@@ -214,6 +228,19 @@
         (next.in_sync.len() > losses).then_some(next)
     }
 
+    /// Whether a replica lacks a batch that was sent long ago.
+    fn stalls(&self, id: MemberId, patience: &Patience, now: u64) -> bool {
+        let acked = self.sessions.get(&id).and_then(|s| s.acked).unwrap_or(0);
+        let oldest = self.sent.iter().find(|(sequence, _)| *sequence > acked);
+        oldest.is_some_and(|(_, at)| now > at + patience.stalled_ms)
+    }
+
+    /// Whether the own disk has stood still for so long that another machine should lead.
+    pub fn own_disk_stalls(&self, patience_ms: u64, now: u64) -> bool {
+        let oldest = self.sent.iter().find(|(sequence, _)| *sequence > self.synced);
+        oldest.is_some_and(|(_, at)| now > at + patience_ms)
+    }
+
     fn bring_back(&self) -> Option<View> {
         let back = |m: &&Member| !self.view.in_sync.contains(&m.id) && self.caught_up(m.id);
         let member = self.view.members.iter().find(back)?;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -132,7 +132,7 @@
 }
 
 /// Silence of a primary after which machines ask around, milliseconds.
-const ASK_AFTER_MS: u64 = 600;
+const ASK_AFTER_MS: u64 = 400;
 /// How often they ask, milliseconds.
 const ASK_EVERY_MS: u64 = 250;
 /// How long a candidate's round may take, milliseconds.
@@ -142,15 +142,17 @@
 /// How long the first start waits for all members before it makes do with fewer, milliseconds.
 const GATHER_MS: u64 = 4_000;
 /// Between candidates of one set, milliseconds.
-const STAGGER_MS: u64 = 150;
+const STAGGER_MS: u64 = 100;
 /// Candidates that met wait up to this long before they try again, milliseconds.
 const JITTER_MS: u64 = 150;
 /// How long a machine that gave its lease back stays out of elections, milliseconds.
 const RESIGNED_MS: u64 = 3_000;
 /// How long a machine has to be heard of again after its connection broke, milliseconds.
 const RECONNECT_MS: u64 = 200;
+/// How long a primary's disk may stand still before it gives its role away, milliseconds.
+const DISK_STALL_MS: u64 = 1_000;
 /// How the primary judges its followers.
-const PATIENCE: Patience = Patience { silent_ms: 700, gone_ms: 1_500 };
+const PATIENCE: Patience = Patience { silent_ms: 600, stalled_ms: 300, gone_ms: 1_500 };
 
 /// One machine's part in the replicated key space.
 #[derive(Debug)]
@@ -276,11 +278,12 @@
     }
 
     /// Makes changes, as primary, and tells their batch's number; `None` if this machine is not primary.
-    pub fn propose(&mut self, changes: Vec<Change>) -> Option<u64> {
+    pub fn propose(&mut self, now: u64, changes: Vec<Change>) -> Option<u64> {
         let Role::Primary(primary) = &mut self.role else { return None };
         changes.iter().for_each(|change| self.keyspace.apply(change));
         primary.sequence += 1;
         let sequence = primary.sequence;
+        primary.sent.push_back((sequence, now));
         self.position = Position { term: primary.view.term, sequence };
         let mut sends = Vec::new();
         for (id, address) in listeners(primary, self.me.id) {
@@ -658,7 +661,7 @@
         self.role = Role::Primary(Box::new(primary));
         self.learn(view);
         // What an earlier primary left unfinished lasts once this batch does.
-        self.propose(Vec::new());
+        self.propose(now, Vec::new());
         self.lead(now);
     }
 
@@ -734,7 +737,7 @@
     fn appended(&mut self, from: MemberId, session: u64, sequence: u64) {
         let Role::Primary(primary) = &mut self.role else { return };
         if let Some(held) = primary.sessions.get_mut(&from).filter(|s| s.session == session) {
-            held.acked = Some(held.acked.map_or(sequence, |acked| acked.max(sequence)));
+            held.acknowledge(sequence);
         }
         self.commit();
     }
@@ -745,6 +748,9 @@
         let point = primary.commit_point(me);
         if point > primary.committed {
             primary.committed = point;
+            while primary.sent.front().is_some_and(|(sequence, _)| *sequence <= point) {
+                primary.sent.pop_front();
+            }
             self.outputs.push(Output::Notice(Notice::Committed { sequence: point }));
         }
     }
@@ -817,6 +823,10 @@
             let term = primary.view.term;
             self.outputs.push(Output::Notice(Notice::Activated { term }));
         }
+        if primary.own_disk_stalls(DISK_STALL_MS, now) {
+            log::warn!("the own disk stands still; another machine is to lead");
+            return self.resign(now);
+        }
         self.beat(now);
         self.review(now);
         self.commit();
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -126,7 +126,7 @@
         let change = Change { key: key.clone(), value: Some(vec![7; 20]) };
         let machine = &mut self.machines[i];
         let Some(replica) = &mut machine.replica else { return };
-        if let Some(sequence) = replica.propose(vec![change]) {
+        if let Some(sequence) = replica.propose(self.now, vec![change]) {
             machine.proposed.push((sequence, key));
         }
         self.carry_out(i);
