Judge workers' pace against others, and leave no service without workers

Change: a queue's guesses are compared with what its tasks take; only good ones judge a worker; a slow worker comes last in the choice and is left for another only if that is sooner; when most of a service is left alone that counts for nothing.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -232,6 +232,7 @@
                 held.percent = running.percent;
                 held.progress_at = now.steady;
             }
+            self.judge_pace(now.steady, running.task, running.run, false);
         }
     }
 
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -113,6 +113,7 @@
             started_at: now,
             told_at: now,
             saved: CompactString::default(),
+            judged: false,
             stopping: false,
             stop_sent_at: 0,
         });
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -56,6 +56,8 @@
     /// When the worker last listed it.
     pub told_at: u64,
     pub saved: CompactString,
+    /// Whether it has been counted for its worker's pace.
+    pub judged: bool,
     pub stopping: bool,
     pub stop_sent_at: u64,
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod job;
 mod listing;
 mod lookup;
+mod pace;
 mod placement;
 mod record;
 mod recover;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -6,7 +6,7 @@
 use crate::worker::{Resources, Standing, Worker};
 use compact_str::CompactString;
 use rand_pcg::Pcg64Mcg;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use spanlead_walkers::{Expander, below};
 
 /// Walkers of a graph: the `d` of the scheme.
@@ -121,6 +121,7 @@
         if !std::mem::take(&mut self.room_changed) || self.ready.is_empty() {
             return;
         }
+        self.panicking = self.services_mostly_avoided(now.steady);
         let mut misses = Misses::default();
         let units: Vec<(ReadyKey, u64)> = self.ready.iter().map(|(key, since)| (*key, *since)).collect();
         for (unit, since) in units {
@@ -148,6 +149,17 @@
         }
     }
 
+    /// Services of whose workers most are left alone: then that says nothing any more.
+    fn services_mostly_avoided(&self, now: u64) -> FxHashSet<CompactString> {
+        let mut counts: FxHashMap<&CompactString, (usize, usize)> = FxHashMap::default();
+        for worker in self.workers.iter().filter(|w| w.takes()) {
+            let (all, avoided) = counts.entry(&worker.service).or_default();
+            *all += 1;
+            *avoided += usize::from(now < worker.avoided_until);
+        }
+        counts.into_iter().filter(|(_, (all, avoided))| avoided * 2 > *all).map(|(s, _)| s.clone()).collect()
+    }
+
     fn place_task(
         &mut self,
         now: Now,
@@ -170,7 +182,10 @@
     /// Whether a task may go to a worker.
     fn eligible(&self, now: Now, key: TaskKey, stage: &Stage, service: &str, at: u32, strict: bool) -> bool {
         let worker = &self.workers[at as usize];
-        if worker.service != service || !worker.takes(now.steady) || !worker.has_labels(&stage.constraints) {
+        if worker.service != service || !worker.takes() || !worker.has_labels(&stage.constraints) {
+            return false;
+        }
+        if now.steady < worker.avoided_until && !self.panicking.contains(service) {
             return false;
         }
         if !Resources::of(stage).fits(worker.room()) {
@@ -249,7 +264,7 @@
         let drawn = draw(graph, &self.workers, &mut rng, &eligible);
         self.graphs = graphs;
         self.rng = rng;
-        let load = |at: &u32| self.workers[*at as usize].load();
+        let load = |at: &u32| self.workers[*at as usize].cost();
         drawn.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))
     }
 
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -66,6 +66,7 @@
                 started_at: now.steady,
                 told_at: now.steady,
                 saved: Default::default(),
+                judged: false,
                 stopping: false,
                 stop_sent_at: 0,
             });
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -9,6 +9,7 @@
     pub(crate) fn end_run(&mut self, now: Now, key: TaskKey, run: u32, end: End, saved: &str) {
         let worker = self.run(key, run).map(|r| r.worker);
         if let Some(worker) = worker.filter(|_| end != End::Void) {
+            self.judge_pace(now.steady, key, run, end == End::Done);
             self.workers[worker as usize].count_end(now.steady, end == End::Failed);
         }
         self.record(now.steady, Event::Ended { task: key, run, end, saved: saved.into() });
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -2,13 +2,15 @@
 use crate::effect::{Call, Effect, Order};
 use crate::events::{Event, Journal};
 use crate::job::{Job, Outcome, Phase, State};
+use crate::pace::Guesses;
 use crate::placement::Graphs;
 use crate::record::{JobRecord, Key, Queue, TaskKey};
 use crate::spec::JobSpec;
 use crate::worker::{HoldState, Worker};
+use compact_str::CompactString;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -91,10 +93,13 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) index: FxHashMap<Arc<str>, u32>,
     pub(crate) graphs: Graphs,
+    pub(crate) guesses: FxHashMap<Queue, Guesses>,
     /// What waits to be placed, with the time since when.
     pub(crate) ready: BTreeMap<ReadyKey, u64>,
     pub(crate) timed: BTreeSet<(u64, u64, u32)>,
     pub(crate) room_changed: bool,
+    /// Services most of whose workers are left alone just now.
+    pub(crate) panicking: FxHashSet<CompactString>,
     pub(crate) listed_at: Option<u64>,
     pub(crate) serial: u64,
     pub(crate) rng: Pcg64Mcg,
@@ -122,9 +127,11 @@
             workers: Vec::new(),
             index: FxHashMap::default(),
             graphs: Graphs::default(),
+            guesses: FxHashMap::default(),
             ready: BTreeMap::new(),
             timed: BTreeSet::new(),
             room_changed: false,
+            panicking: FxHashSet::default(),
             listed_at: None,
             serial: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -379,7 +386,7 @@
     }
 
     /// Where a task goes on from; all of a gang from the same point.
-    fn checkpoint(&self, key: TaskKey) -> compact_str::CompactString {
+    fn checkpoint(&self, key: TaskKey) -> CompactString {
         let Some(stage) = self.stage(key) else { return Default::default() };
         if !stage.checkpoints {
             return Default::default();
--- a/crates/jobs/src/watch.rs
+++ b/crates/jobs/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::record::TaskKey;
 use crate::scheduler::{Now, Scheduler};
 use crate::spec::Stage;
-use crate::worker::Resources;
+use crate::worker::{Resources, Worker};
 
 /// How long a task may make no progress before it counts as standing still, milliseconds.
 const STILL_MS: u64 = 900;
@@ -12,9 +12,13 @@
 /// How long a worker with such a task is left alone, milliseconds.
 const STILL_AVOIDED_MS: u64 = 3_000;
 /// How much longer than elsewhere a task must need where it runs before it is moved.
-const SLOW_FACTOR: f64 = 2.5;
-/// How long a task must have run before its pace is judged, milliseconds.
+const SLOW_FACTOR: f64 = 1.3;
+/// What a move costs beside, milliseconds.
+const MOVE_MS: f64 = 400.0;
+/// How long a task must have run before it is moved for its worker's pace, milliseconds.
 const PACE_AFTER_MS: u64 = 400;
+/// Progress from which a run tells something of its worker's pace.
+const PACE_PERCENT: f64 = 20.0;
 /// How long a job must seem impossible before it is given up, milliseconds.
 const IMPOSSIBLE_MS: u64 = 1_500;
 /// How long the list of workers must be known for that, milliseconds.
@@ -23,6 +27,7 @@
 impl Scheduler {
     /// Stops tasks that stand still or are far slower than they would be elsewhere; they start anew there.
     pub(crate) fn watch_progress(&mut self, now: Now) {
+        self.workers.iter_mut().for_each(|worker| worker.pace.fade());
         let mut moved = Vec::new();
         for (at, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.reachable && w.fenced) {
             for (key, run) in &worker.runs {
@@ -31,7 +36,7 @@
                 if held.phase != Phase::Started || held.stopping || stage.long_running {
                     continue;
                 }
-                if self.stands(now.steady, held, stage) || !stage.gang && crawls(held, stage) {
+                if self.stands(now.steady, held, stage) || self.crawls(*key, held, stage, worker) {
                     moved.push((*key, *run, at));
                 }
             }
@@ -55,6 +60,40 @@
         now > held.progress_at + patience && held.told_at > held.progress_at + patience / 2
     }
 
+    /// Whether the rest of a task takes far longer on its slow worker than all of it would elsewhere.
+    fn crawls(&self, key: TaskKey, held: &Run, stage: &Stage, worker: &Worker) -> bool {
+        let ran = held.told_at.saturating_sub(held.started_at);
+        if !worker.pace.slow() || stage.gang || ran < PACE_AFTER_MS || held.percent <= 0.0 {
+            return false;
+        }
+        let left = ran as f64 * (100.0 - held.percent).max(0.0) / held.percent;
+        let guesses = self.jobs.get(&key.job).and_then(|job| self.guesses.get(&job.record.queue));
+        let elsewhere = guesses.map_or(f64::MAX, |g| g.expected_ms(stage.est_runtime_ms as f64));
+        left > SLOW_FACTOR * elsewhere + MOVE_MS
+    }
+
+    /// Counts a run for its worker's pace: by its progress once that tells something, or by its end.
+    pub(crate) fn judge_pace(&mut self, now: u64, key: TaskKey, run: u32, done: bool) {
+        let Some(guessed) = self.stage(key).filter(|s| !s.gang && !s.long_running).map(|s| s.est_runtime_ms)
+        else {
+            return;
+        };
+        let Some(queue) = self.jobs.get(&key.job).map(|job| job.record.queue.clone()) else { return };
+        let Some(held) = self.run_mut(key, run) else { return };
+        let progress = if done { 100.0 } else { held.percent };
+        // What went on from a checkpoint, or was taken over, has run for longer than is known here.
+        let fresh = held.run == 1 && held.phase == Phase::Started && held.ordered_at < held.started_at;
+        if held.judged || !fresh || progress < PACE_PERCENT {
+            return;
+        }
+        held.judged = true;
+        let took = now.saturating_sub(held.started_at) as f64 * 100.0 / progress;
+        let worker = held.worker;
+        if let Some(off) = self.guesses.entry(queue).or_default().sample(took, guessed as f64) {
+            self.workers[worker as usize].pace.take(off);
+        }
+    }
+
     /// Gives up jobs of which a step fits no worker that was ever seen.
     pub(crate) fn fail_impossible(&mut self, now: Now) {
         if !self.knows_workers(now.steady, LISTED_FOR_MS) {
@@ -93,13 +132,3 @@
         false
     }
 }
-
-/// Whether the rest of a task takes far longer here than all of it would elsewhere.
-fn crawls(held: &Run, stage: &Stage) -> bool {
-    let ran = held.told_at.saturating_sub(held.started_at);
-    if ran < PACE_AFTER_MS || held.percent <= 0.0 {
-        return false;
-    }
-    let left = ran as f64 * (100.0 - held.percent).max(0.0) / held.percent;
-    left > SLOW_FACTOR * stage.est_runtime_ms as f64 + PACE_AFTER_MS as f64
-}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,5 +1,6 @@
 //! A worker in memory: what it has, what was put there, and how it is doing.
 use crate::clock::WorkerClock;
+use crate::pace::Pace;
 use crate::record::TaskKey;
 use crate::spec::Stage;
 use compact_str::CompactString;
@@ -99,6 +100,7 @@
     pub failing: f64,
     pub ends: f64,
     pub avoided_until: u64,
+    pub pace: Pace,
     /// When it stops serving, our time.
     pub leaves_at: Option<u64>,
 }
@@ -136,6 +138,7 @@
             failing: 0.0,
             ends: 0.0,
             avoided_until: 0,
+            pace: Pace::default(),
             leaves_at: None,
         }
     }
@@ -151,9 +154,9 @@
         self.capacity.minus(self.used).minus(strays)
     }
 
-    /// Whether it may be told to start something now.
-    pub fn takes(&self, now: u64) -> bool {
-        self.standing == Standing::Ready && self.fenced && self.reachable && now >= self.avoided_until
+    /// Whether it may be told to start something, leaving aside how it is doing.
+    pub fn takes(&self) -> bool {
+        self.standing == Standing::Ready && self.fenced && self.reachable
     }
 
     pub fn has_labels(&self, wanted: &[String]) -> bool {
@@ -168,6 +171,12 @@
             .max(share(self.used.gpus, self.capacity.gpus))
     }
 
+    /// What stands against a worker beside others with room: its load, and its slowness.
+    pub fn cost(&self) -> f64 {
+        let slow = if self.pace.slow() { self.pace.factor() } else { 0.0 };
+        self.load() + slow
+    }
+
     /// Counts an end, for the judgement of its health.
     pub fn count_end(&mut self, now: u64, failed: bool) {
         self.ends = self.ends * ENDS_KEPT + 1.0;
