--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -118,8 +118,6 @@
     pub service: CompactString,
     pub closed: Option<(Outcome, u64)>,
     pub occurrences: BTreeMap<u32, Occurrence>,
-    /// Times that are over.
-    pub finished: u32,
     /// The next time that is not yet due.
     pub next_occurrence: u32,
     /// Whether anything was ever started.
@@ -136,7 +134,6 @@
             record,
             closed: None,
             occurrences: BTreeMap::new(),
-            finished: 0,
             next_occurrence: 0,
             touched: false,
             impossible_since: None,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod clock;
 mod effect;
 mod events;
+mod inspect;
 mod job;
 mod listing;
 mod lookup;
@@ -29,6 +30,7 @@
 mod worker;
 
 pub use effect::{Call, Effect, FinishedTask, Listed, ListedState, Order, Reply, RunningTask, WorkerReport};
+pub use inspect::{JobView, RunView, TaskView, WorkerView};
 pub use job::{Outcome, State};
 pub use record::{Queue, TaskKey};
 pub use scheduler::{Admission, Bounds, Now, Scheduler, Terms, Write};
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -97,14 +97,14 @@
         for number in 0..begun {
             job.occurrence(number);
         }
-        job.finished = job.occurrences.values().filter(|o| o.done()).count() as u32;
+        let finished = job.occurrences.values().filter(|o| o.done()).count() as u32;
         *self.pending.entry(queue).or_default() += 1;
         for number in 0..begun {
             self.open_stages(now, id, number);
         }
         self.begin_due(now, id);
-        let Some(job) = self.jobs.get(&id) else { return };
-        if job.finished >= job.record.spec.times() {
+        let times = self.jobs.get(&id).map_or(0, |job| job.record.spec.times());
+        if finished >= times {
             self.close(now, id, crate::job::Outcome::Succeeded);
         }
     }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -79,8 +79,9 @@
         if !steps.done() {
             return self.open_stages(now, key.job, key.occurrence);
         }
-        job.finished += 1;
-        if job.finished >= job.record.spec.times() {
+        // The ends of a gang's members come one by one, and the first counted for all.
+        let finished = job.occurrences.values().filter(|steps| steps.done()).count();
+        if finished as u32 >= job.record.spec.times() {
             self.close(now, key.job, Outcome::Succeeded);
         }
     }
--- /dev/null
+++ b/crates/jobs/tests/common/rules.rs
@@ -0,0 +1,139 @@
+//! The rules, as the operators' pages have them, judged by what the workers see.
+use super::worker::SimWorker;
+use spanlead_jobs::{JobSpec, TaskKey};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One end that a worker may still have to tell.
+#[derive(Clone, Debug)]
+struct DoneEnd {
+    worker: String,
+    number: u64,
+    task: TaskKey,
+    at: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Rules {
+    specs: BTreeMap<u64, JobSpec>,
+    running: BTreeMap<TaskKey, BTreeSet<(String, u32)>>,
+    /// Tasks with an end `done` anywhere.
+    done: BTreeSet<TaskKey>,
+    noted_done: BTreeSet<TaskKey>,
+    ends: Vec<DoneEnd>,
+    failed: Vec<(String, u64, TaskKey)>,
+    noted_failed: BTreeMap<TaskKey, u32>,
+    last_start: BTreeMap<TaskKey, u64>,
+    pub starts: u64,
+    pub attempts: u32,
+}
+
+impl Rules {
+    pub fn asked(&mut self, id: u64, spec: &JobSpec) {
+        self.specs.insert(id, spec.clone());
+        self.attempts = 3;
+    }
+
+    pub fn stage(&self, task: TaskKey) -> &spanlead_jobs::Stage {
+        &self.specs[&task.job].stages[usize::from(task.stage)]
+    }
+
+    pub fn started(&mut self, now: u64, worker: &str, task: TaskKey, run: u32) {
+        self.starts += 1;
+        let spec = self.specs.get(&task.job).unwrap_or_else(|| panic!("UNASKED: {task}"));
+        let stage = &spec.stages[usize::from(task.stage)];
+        let elsewhere = self.running.entry(task).or_default();
+        assert!(elsewhere.is_empty(), "TWICE: {task} run {run} on {worker} beside {elsewhere:?} at {now}");
+        elsewhere.insert((worker.to_owned(), run));
+        assert!(!self.noted_done.contains(&task), "TWICE: {task} run {run} after its end was noted");
+        for before in &stage.depends_on {
+            for index in 0..spec.stages[usize::from(*before)].count {
+                let needed = TaskKey { stage: *before, index, ..task };
+                assert!(self.done.contains(&needed), "ORDER: {task} before {needed}");
+            }
+        }
+        let counted = if stage.gang { TaskKey { index: 0, ..task } } else { task };
+        let failed = self.noted_failed.get(&counted).copied().unwrap_or(0);
+        assert!(stage.gang || failed < self.attempts, "BUDGET: {task} after {failed} failed runs");
+        self.last_start.insert(task, now);
+    }
+
+    pub fn ended(&mut self, now: u64, worker: &str, number: u64, task: TaskKey, run: u32, how: &str) {
+        if let Some(running) = self.running.get_mut(&task) {
+            running.remove(&(worker.to_owned(), run));
+        }
+        match how {
+            "done" => {
+                self.done.insert(task);
+                self.ends.push(DoneEnd { worker: worker.to_owned(), number, task, at: now });
+            }
+            "failed" => self.failed.push((worker.to_owned(), number, task)),
+            _ => {}
+        }
+    }
+
+    /// A worker's hold lapsed: ends that it had not told before don't bind any more.
+    pub fn lapsed(&mut self, worker: &str) {
+        self.ends.retain(|end| end.worker != worker);
+    }
+
+    pub fn crashed(&mut self, worker: &str) {
+        self.ends.retain(|end| end.worker != worker);
+        self.failed.retain(|(w, _, _)| w != worker);
+        self.running.values_mut().for_each(|running| running.retain(|(w, _)| w != worker));
+    }
+
+    pub fn noted(&mut self, worker: &str, last_seen: u64) {
+        let seen = |end: &DoneEnd| end.worker == worker && end.number <= last_seen;
+        for end in self.ends.iter().filter(|end| seen(end)) {
+            let after = self.last_start.get(&end.task).copied().unwrap_or(0);
+            assert!(
+                after <= end.at,
+                "TWICE: {} was started at {after}, after its end at {}",
+                end.task,
+                end.at
+            );
+            self.noted_done.insert(end.task);
+        }
+        self.ends.retain(|end| !seen(end));
+        let seen = |(w, number, _): &(String, u64, TaskKey)| w == worker && *number <= last_seen;
+        for (_, _, task) in self.failed.iter().filter(|end| seen(end)) {
+            *self.noted_failed.entry(*task).or_default() += 1;
+        }
+        self.failed.retain(|end| !seen(end));
+    }
+
+    /// Whether all tasks of a job have ended `done`.
+    pub fn all_done(&self, job: u64) -> bool {
+        let spec = &self.specs[&job];
+        (0..spec.times()).all(|occurrence| {
+            spec.stages.iter().enumerate().all(|(stage, s)| {
+                let key = |index| TaskKey { job, occurrence, stage: stage as u16, index };
+                let done = |index: u32| self.done.contains(&key(index));
+                if s.gang { (0..s.count).any(done) } else { (0..s.count).all(done) }
+            })
+        })
+    }
+
+    /// Gangs work while all their members are there, and end together.
+    pub fn finish_gangs(&mut self, workers: &mut [SimWorker], now: u64) {
+        let mut gangs: BTreeMap<(TaskKey, u32), Vec<(usize, TaskKey)>> = BTreeMap::new();
+        for (at, worker) in workers.iter().enumerate() {
+            for run in worker.running.iter().filter(|r| r.gang) {
+                let key = TaskKey { index: 0, ..run.task };
+                gangs.entry((key, run.run)).or_default().push((at, run.task));
+            }
+        }
+        for ((key, run), members) in gangs {
+            let all = self.stage(key).count as usize;
+            let complete = members.len() == all;
+            let each: Vec<bool> =
+                members.iter().map(|(at, task)| workers[*at].gang_due(now, *task, run, complete)).collect();
+            let due = each.into_iter().all(|due| due);
+            if members.len() == all && due {
+                for (at, task) in members {
+                    workers[at].end(now, task, run, "done", self);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/common/worker.rs
@@ -0,0 +1,230 @@
+//! A worker that behaves as the protocol says.
+use super::BOUNDS;
+use super::rules::Rules;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use spanlead_jobs::*;
+use std::collections::BTreeMap;
+
+/// A task that runs here.
+#[derive(Clone, Debug)]
+pub struct SimRun {
+    pub task: TaskKey,
+    pub run: u32,
+    pub gang: bool,
+    began: u64,
+    takes: u64,
+    complete_since: Option<u64>,
+    need: (u64, u64),
+    stopping_until: Option<u64>,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct SimWorker {
+    pub id: String,
+    index: usize,
+    pub generation: u32,
+    pub born: u64,
+    /// Its clock's speed: up to 2% slow.
+    rate: f64,
+    pub cut_until: u64,
+    /// The share of tasks that fail here.
+    pub failing: f64,
+    fence: u64,
+    hold_until: u64,
+    pub running: Vec<SimRun>,
+    pub finished: Vec<FinishedTask>,
+    number: u64,
+    last_seen: u64,
+    ended: BTreeMap<TaskKey, u32>,
+    pub guards: bool,
+}
+
+/// What a worker has: thousandths of a core and MB.
+pub const CAPACITY: (u64, u64) = (8_000, 16_000);
+
+impl SimWorker {
+    pub fn new(index: usize, generation: u32, now: u64, rng: &mut ChaCha8Rng) -> Self {
+        SimWorker {
+            id: format!("i-{index}-{generation}"),
+            index,
+            generation,
+            born: now,
+            rate: rng.random_range(0.98..1.0),
+            cut_until: 0,
+            failing: 0.02,
+            fence: 0,
+            hold_until: 0,
+            running: Vec::new(),
+            finished: Vec::new(),
+            number: 0,
+            last_seen: 0,
+            ended: BTreeMap::new(),
+            guards: index.is_multiple_of(2),
+        }
+    }
+
+    pub fn listed(&self) -> Listed {
+        Listed {
+            id: self.id.as_str().into(),
+            service: "s".into(),
+            address: self.index.to_string().into(),
+            zone: "z".into(),
+            state: ListedState::Ready,
+            cpu: CAPACITY.0,
+            mem_mb: CAPACITY.1,
+            gpus: 0,
+            labels: vec!["a".into(), format!("r{}", self.index / 3).into()],
+        }
+    }
+
+    fn clock(&self, now: u64) -> u64 {
+        500 + ((now - self.born) as f64 * self.rate) as u64
+    }
+
+    fn room(&self) -> (u64, u64) {
+        let used = |pick: fn(&SimRun) -> u64| self.running.iter().map(pick).sum::<u64>();
+        (CAPACITY.0.saturating_sub(used(|r| r.need.0)), CAPACITY.1.saturating_sub(used(|r| r.need.1)))
+    }
+
+    /// Lets time pass; tells how many runs ended.
+    pub fn pass(&mut self, now: u64, rng: &mut ChaCha8Rng, rules: &mut Rules) -> usize {
+        let clock = self.clock(now);
+        if clock > self.hold_until && !self.running.is_empty() {
+            rules.lapsed(&self.id);
+            for run in self.running.clone() {
+                self.end(now, run.task, run.run, "lapsed", rules);
+            }
+        }
+        let mut ends = 0;
+        for run in self.running.clone() {
+            let how = if run.stopping_until.is_some_and(|at| now >= at) {
+                "stopped"
+            } else if !run.gang && now >= run.began + run.takes {
+                if rng.random_bool(self.failing) { "failed" } else { "done" }
+            } else if run.gang && run.complete_since.is_none() && now > run.began + BOUNDS.gang_ms {
+                "alone"
+            } else {
+                continue;
+            };
+            self.end(now, run.task, run.run, how, rules);
+            ends += 1;
+        }
+        ends
+    }
+
+    /// Whether a gang's member has worked long enough.
+    pub fn gang_due(&mut self, now: u64, task: TaskKey, run: u32, complete: bool) -> bool {
+        let Some(held) = self.running.iter_mut().find(|r| r.task == task && r.run == run) else {
+            return false;
+        };
+        if complete {
+            held.complete_since.get_or_insert(now);
+        }
+        held.complete_since.is_some_and(|at| now >= at + held.takes)
+    }
+
+    pub fn end(&mut self, now: u64, task: TaskKey, run: u32, how: &str, rules: &mut Rules) {
+        self.running.retain(|r| (r.task, r.run) != (task, run));
+        let highest = self.ended.entry(task).or_default();
+        *highest = run.max(*highest);
+        self.number += 1;
+        let number = self.number;
+        rules.ended(now, &self.id, number, task, run, how);
+        self.finished.push(FinishedTask { number, task, run, how: how.into(), saved: "".into() });
+    }
+
+    fn fenced(&mut self, call: &Call) -> Option<Reply> {
+        if call.fence < self.fence {
+            return Some(Reply::Refused { status: 409, reason: "fence".into() });
+        }
+        self.fence = call.fence;
+        None
+    }
+
+    /// A start or a stop.
+    pub fn obey(&mut self, now: u64, call: &Call, rules: &mut Rules) -> Reply {
+        if let Some(refused) = self.fenced(call) {
+            return refused;
+        }
+        let clock = self.clock(now);
+        let refused = |reason: &str| Reply::Refused { status: 409, reason: reason.into() };
+        match &call.order {
+            Order::Start { task, run, until_ms, .. } => {
+                if *until_ms < clock {
+                    return refused("late");
+                }
+                self.hold_until = self.hold_until.max((*until_ms).min(clock + BOUNDS.max_hold_ms));
+                if self.running.iter().any(|r| (r.task, r.run) == (*task, *run)) {
+                    return Reply::Done { clock_ms: clock };
+                }
+                if self.ended.get(task).is_some_and(|ended| *run <= *ended) {
+                    return refused("old");
+                }
+                let stage = rules.stage(*task).clone();
+                let (cpu, mem) = self.room();
+                let fits = stage.cpu <= cpu && stage.mem_mb <= mem;
+                if self.guards && !fits {
+                    return refused("room");
+                }
+                assert!(fits, "LIMIT: {task} on {} at {now}", self.id);
+                rules.started(now, &self.id, *task, *run);
+                self.running.push(SimRun {
+                    task: *task,
+                    run: *run,
+                    gang: stage.gang,
+                    began: now,
+                    takes: stage.est_runtime_ms,
+                    complete_since: None,
+                    need: (stage.cpu, stage.mem_mb),
+                    stopping_until: None,
+                });
+            }
+            Order::Stop { task, run } => {
+                let highest = self.ended.entry(*task).or_default();
+                *highest = (*run).max(*highest);
+                let held = self.running.iter_mut().find(|r| (r.task, r.run) == (*task, *run));
+                if let Some(held) = held {
+                    held.stopping_until.get_or_insert(now + BOUNDS.stop_ms / 2);
+                }
+            }
+            Order::Hold { .. } => {}
+        }
+        Reply::Done { clock_ms: clock }
+    }
+
+    /// A hold: `None` if it is obeyed.
+    pub fn hold(&mut self, now: u64, call: &Call, rules: &mut Rules) -> Option<Reply> {
+        if let Some(refused) = self.fenced(call) {
+            return Some(refused);
+        }
+        let Order::Hold { until_ms, last_seen, .. } = &call.order else { return None };
+        let clock = self.clock(now);
+        if let Some(until_ms) = until_ms {
+            self.hold_until = self.hold_until.max((*until_ms).min(clock + BOUNDS.max_hold_ms));
+        }
+        if *last_seen > self.last_seen {
+            self.last_seen = *last_seen;
+            rules.noted(&self.id, *last_seen);
+            self.finished.retain(|end| end.number > *last_seen);
+        }
+        None
+    }
+
+    pub fn report(&self, now: u64, last_seen: u64) -> WorkerReport {
+        let running = self.running.iter().map(|r| RunningTask {
+            task: r.task,
+            run: r.run,
+            saved: "".into(),
+            percent: (100 * now.saturating_sub(r.began) / r.takes.max(1)).min(99) as f64,
+        });
+        let finished = self.finished.iter().filter(|end| end.number > last_seen).take(500).cloned();
+        WorkerReport {
+            clock_ms: self.clock(now),
+            running: running.collect(),
+            finished: finished.collect(),
+            remaining_ms: None,
+        }
+    }
+}
