--- a/crates/cluster/src/control/peers.rs
+++ b/crates/cluster/src/accept.rs
@@ -1,5 +1,4 @@
-//! Connections that others make to this node.
-use crate::control::Input;
+//! Connections that other processes make to this one.
 use crate::frame::{Frame, encode};
 use crate::link::read_frame;
 use async_std::channel::{Receiver, Sender, bounded};
@@ -7,6 +6,7 @@
 use async_std::io::{BufReader, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Frames that wait for one that does not read; beyond that its connection ends.
@@ -16,23 +16,26 @@
 /// Between two tries to listen.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// Accepts connections and hands their frames to the node.
-pub async fn serve(address: String, inputs: Sender<Input>) {
+/// Takes a frame, and where answers to it go.
+pub type Taker = Arc<dyn Fn(Frame, &Sender<Frame>) + Send + Sync>;
+
+/// Accepts connections and hands over their frames.
+pub async fn serve(address: String, take: Taker) {
     loop {
         match TcpListener::bind(&address).await {
-            Ok(listener) => accept(&listener, &inputs).await,
+            Ok(listener) => accept(&listener, &take).await,
             Err(error) => log::error!("{address}: {error}"),
         }
         task::sleep(RETRY).await;
     }
 }
 
-async fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
+async fn accept(listener: &TcpListener, take: &Taker) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                task::spawn(read(stream, inputs.clone()));
+                task::spawn(read(stream, take.clone()));
             }
             Err(error) => {
                 log::warn!("accept: {error}");
@@ -42,7 +45,7 @@
     }
 }
 
-async fn read(stream: TcpStream, inputs: Sender<Input>) {
+async fn read(stream: TcpStream, take: Taker) {
     let (answers, queue) = bounded(QUEUE);
     let writer = task::spawn(write(stream.clone(), queue));
     let mut reader = BufReader::new(stream.clone());
@@ -51,11 +54,7 @@
             Ok(Frame::Ping) => {
                 let _ = answers.try_send(Frame::Ping);
             }
-            Ok(frame) => {
-                if inputs.send(Input::Frame(frame, Some(answers.clone()))).await.is_err() {
-                    break;
-                }
-            }
+            Ok(frame) => take(frame, &answers),
             Err(error) => {
                 log::debug!("a connection ends: {error}");
                 break;
--- a/crates/cluster/src/control/mod.rs
+++ b/crates/cluster/src/control/mod.rs
@@ -5,12 +5,13 @@
 mod configurations;
 mod node;
 mod operator;
-mod peers;
 
 pub use configurations::{Configurations, Taken};
 pub use node::{Input, Node, Reply};
 
+use crate::accept;
 use crate::disk::{DiskError, Store, Writer};
+use crate::frame::Frame;
 use crate::link::{LinkEvent, Links};
 use crate::settings::Settings;
 use crate::time::Clock;
@@ -19,6 +20,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use quick_error::quick_error;
+use std::sync::Arc;
 use std::time::Duration;
 
 quick_error! {
@@ -66,9 +68,13 @@
     let (link_events, link_inbox) = unbounded();
     let links = Links::new(link_events);
     let node = Node::start(settings, restored, clock, links, writer, WorkerCalls::default(), inputs.clone());
-    crate::control::on_term(inputs.clone());
+    on_term(inputs.clone());
     task::block_on(async move {
-        task::spawn(peers::serve(settings.peer(), inputs.clone()));
+        let taker = inputs.clone();
+        let take = move |frame, answers: &Sender<Frame>| {
+            let _ = taker.try_send(Input::Frame(frame, Some(answers.clone())));
+        };
+        task::spawn(accept::serve(settings.peer(), Arc::new(take)));
         task::spawn(operator::serve(control, inputs.clone()));
         task::spawn(forward(link_inbox, inputs));
         drive(node, inbox, clock).await;
@@ -78,7 +84,7 @@
 
 /// Tells the node when the process is to end.
 fn on_term(inputs: Sender<Input>) {
-    crate::control::signals(move || {
+    signals(move || {
         let _ = inputs.try_send(Input::Terminate);
     });
 }
--- a/crates/cluster/src/control/node.rs
+++ b/crates/cluster/src/control/node.rs
@@ -9,15 +9,16 @@
 use crate::workers::WorkerCalls;
 use async_std::channel::Sender;
 use async_std::task;
+use spanlead_dissemination::{PEERS, pick};
 use spanlead_jobs::{Admission, Bounds, Call, Effect, Listed, Outcome, Queue, Scheduler, State, Terms};
 use spanlead_replication::{self as replication, Change, Notice, Options, Output, Replica, Restored, View};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// How long a lease lasts, milliseconds.
-const LEASE_MS: u64 = 700;
+const LEASE_MS: u64 = 500;
 /// How often it is asked for, milliseconds.
-const HEARTBEAT_MS: u64 = 150;
+const HEARTBEAT_MS: u64 = 100;
 /// How often the platform's list is read, milliseconds.
 const LIST_EVERY_MS: u64 = 1_000;
 /// How soon after a failed read it is tried again, milliseconds.
@@ -78,6 +79,13 @@
     listing: bool,
 }
 
+/// A data plane that is connected.
+#[derive(Debug)]
+struct Listener {
+    peer: String,
+    frames: Sender<Frame>,
+}
+
 /// One machine of the control plane.
 #[derive(Debug)]
 pub struct Node {
@@ -91,7 +99,8 @@
     inputs: Sender<Input>,
     serving: Option<Serving>,
     /// Data planes that are connected here.
-    listeners: Vec<Sender<Frame>>,
+    listeners: Vec<Listener>,
+    listeners_changed: bool,
     announced: Directory,
     announced_version: u64,
     terminate_at: Option<u64>,
@@ -134,6 +143,7 @@
             inputs,
             serving: None,
             listeners: Vec::new(),
+            listeners_changed: false,
             announced: Directory::default(),
             announced_version: 0,
             terminate_at: None,
@@ -197,12 +207,14 @@
     fn frame(&mut self, frame: Frame, answers: Option<Sender<Frame>>) {
         match frame {
             Frame::Replication(envelope) => self.replicate(replication::Input::Message(envelope)),
-            Frame::Hello { node, version } => {
+            Frame::Hello { node, peer, version } => {
                 if let Some(answers) = answers {
                     log::debug!("{node} is connected");
                     let _ = answers.try_send(Frame::Directory(self.announced.clone()));
                     self.bring_configuration(&answers, version);
-                    self.listeners.push(answers);
+                    self.listeners.retain(|listener| listener.peer != peer);
+                    self.listeners.push(Listener { peer, frames: answers });
+                    self.listeners_changed = true;
                 }
             }
             Frame::Call(call) => {
@@ -254,6 +266,7 @@
             list_at: 0,
             listing: false,
         });
+        self.listeners_changed = true;
         self.announce();
     }
 
@@ -407,13 +420,34 @@
         if directory != self.announced {
             self.announced = directory;
             let frame = Frame::Directory(self.announced.clone());
-            self.listeners.retain(|listener| listener.try_send(frame.clone()).is_ok());
+            self.tell_listeners(&frame);
+        }
+        let lost = self.listeners.iter().any(|listener| listener.frames.is_closed());
+        if self.serving.is_some() && (std::mem::take(&mut self.listeners_changed) || lost) {
+            self.introduce();
         }
         let Some((version, text)) = self.configuration() else { return };
         if version != self.announced_version {
             self.announced_version = version;
             let frame = Frame::Configuration(ConfigurationText { version, text });
-            self.listeners.retain(|listener| listener.try_send(frame.clone()).is_ok());
+            self.tell_listeners(&frame);
+        }
+    }
+
+    fn tell_listeners(&mut self, frame: &Frame) {
+        let before = self.listeners.len();
+        self.listeners.retain(|listener| listener.frames.try_send(frame.clone()).is_ok());
+        self.listeners_changed |= self.listeners.len() != before;
+    }
+
+    /// Tells each data plane whom it should tell and watch.
+    fn introduce(&mut self) {
+        self.listeners.retain(|listener| !listener.frames.is_closed());
+        let names: Vec<&str> = self.listeners.iter().map(|listener| listener.peer.as_str()).collect();
+        for listener in &self.listeners {
+            let picked = pick(&listener.peer, names.iter().copied(), PEERS);
+            let picked = picked.into_iter().map(str::to_owned).collect();
+            let _ = listener.frames.try_send(Frame::Peers(picked));
         }
     }
 
--- a/crates/cluster/src/data/core_links.rs
+++ b/crates/cluster/src/data/core_links.rs
@@ -1,5 +1,6 @@
 //! The connections to the control plane: who is primary, the configuration, and requests on their way.
-use crate::frame::{Ask, ClientCall, ClientReply, ConfigurationText, Directory, Frame};
+use crate::accept;
+use crate::frame::{Ask, ClientCall, ClientReply, Directory, Frame};
 use crate::link::{LinkEvent, Links};
 use crate::settings::Settings;
 use crate::time::Clock;
@@ -7,6 +8,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use spanlead_configuration::Configuration;
+use spanlead_dissemination::{Disseminator, Item, Output};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -33,12 +35,12 @@
     Unknown,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
     directory: Directory,
     connected: BTreeSet<String>,
     configuration: Option<Arc<Configuration>>,
-    version: u64,
+    spread: Disseminator,
     /// Requests whose answers are out, with the node that has them.
     calls: HashMap<u64, (String, Sender<ClientReply>)>,
     serial: u64,
@@ -53,6 +55,7 @@
     links: Links,
     clock: Clock,
     node: Arc<str>,
+    peer: Arc<str>,
     seeds: Arc<Vec<String>>,
 }
 
@@ -62,13 +65,29 @@
     pub fn start(settings: &Settings, clock: Clock) -> Self {
         let (events, inbox) = unbounded();
         let core = CoreLinks {
-            inner: Arc::default(),
+            inner: Arc::new(Mutex::new(Inner {
+                directory: Directory::default(),
+                connected: BTreeSet::new(),
+                configuration: None,
+                spread: Disseminator::new(&settings.peer()),
+                calls: HashMap::new(),
+                serial: 0,
+                served_at: 0,
+            })),
+            peer: settings.peer().into(),
             links: Links::new(events),
             clock,
             node: settings.node.as_str().into(),
             seeds: Arc::new(settings.seed_peers()),
         };
         task::spawn(greet(core.clone()));
+        let gossip = core.clone();
+        let take = move |frame, _: &Sender<Frame>| {
+            if let Frame::Gossip { from, message } = frame {
+                gossip.spread(|spread, now| spread.handle(&from, message, now));
+            }
+        };
+        task::spawn(accept::serve(settings.peer(), Arc::new(take)));
         task::spawn(listen(core.clone(), inbox));
         core
     }
@@ -87,7 +106,7 @@
     #[must_use]
     pub fn ready(&self) -> bool {
         let inner = self.lock();
-        inner.version > 0 && self.clock.steady() < inner.served_at + READY_MS
+        inner.configuration.is_some() && self.clock.steady() < inner.served_at + READY_MS
     }
 
     fn primary(&self) -> Option<String> {
@@ -144,9 +163,12 @@
     fn take(&self, event: LinkEvent) {
         match event {
             LinkEvent::Up(address) => {
-                let version = self.lock().version;
-                self.lock().connected.insert(address.clone());
-                self.links.send(&address, &Frame::Hello { node: self.node.to_string(), version });
+                let mut inner = self.lock();
+                let version = inner.spread.item().map_or(0, |item| item.version);
+                inner.connected.insert(address.clone());
+                drop(inner);
+                let (node, peer) = (self.node.to_string(), self.peer.to_string());
+                self.links.send(&address, &Frame::Hello { node, peer, version });
             }
             LinkEvent::Down(address) => {
                 let mut inner = self.lock();
@@ -163,7 +185,11 @@
                     inner.directory = directory;
                 }
             }
-            LinkEvent::Frame(_, Frame::Configuration(text)) => self.configure(&text),
+            LinkEvent::Frame(_, Frame::Configuration(text)) => {
+                let item = Item { version: text.version, content: text.text.into_bytes() };
+                self.spread(|spread, now| spread.offer(item, now));
+            }
+            LinkEvent::Frame(_, Frame::Peers(peers)) => self.spread(|spread, now| spread.meet(&peers, now)),
             LinkEvent::Frame(_, Frame::Reply(reply)) => {
                 if let Some((_, answers)) = self.lock().calls.remove(&reply.serial) {
                     let _ = answers.try_send(reply);
@@ -173,13 +199,33 @@
         }
     }
 
-    fn configure(&self, text: &ConfigurationText) {
-        let Ok(configuration) = Configuration::read(&text.text) else { return };
-        let mut inner = self.lock();
-        if text.version > inner.version {
-            log::debug!("configuration {} is in force", text.version);
-            inner.version = text.version;
-            inner.configuration = Some(Arc::new(configuration));
+    /// Lets something happen to the spreading among data planes, and does what follows.
+    fn spread(&self, act: impl FnOnce(&mut Disseminator, u64)) {
+        let now = self.clock.steady();
+        let outputs = {
+            let mut inner = self.lock();
+            act(&mut inner.spread, now);
+            inner.spread.drain()
+        };
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    self.links.send(&to, &Frame::Gossip { from: self.peer.to_string(), message });
+                }
+                Output::Updated(item) => self.configure(&item),
+                Output::Peer { name, alive: true } => log::info!("data plane {name} is heard again"),
+                Output::Peer { name, alive: false } => log::info!("data plane {name} is silent"),
+            }
+        }
+    }
+
+    fn configure(&self, item: &Item) {
+        match Configuration::read(&String::from_utf8_lossy(&item.content)) {
+            Ok(configuration) => {
+                log::debug!("configuration {} is in force", item.version);
+                self.lock().configuration = Some(Arc::new(configuration));
+            }
+            Err(error) => log::warn!("configuration {} can't be read: {error}", item.version),
         }
     }
 
@@ -201,6 +247,7 @@
             }
         }
         core.primary();
+        core.spread(Disseminator::tick);
         task::sleep(GREET).await;
     }
 }
--- a/crates/cluster/src/frame.rs
+++ b/crates/cluster/src/frame.rs
@@ -1,4 +1,5 @@
 //! What processes of the system say to one another.
+#![allow(missing_docs, reason = "the types that rkyv derives from these have undocumented fields")]
 use quick_error::quick_error;
 use rkyv::{Archive, Deserialize, Serialize};
 use spanlead_jobs::JobSpec;
@@ -84,7 +85,6 @@
 
 /// One message between processes.
 #[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
-#[rkyv(attr(allow(missing_docs)))]
 pub enum Frame {
     /// Between members of the control plane.
     Replication(Envelope),
@@ -92,6 +92,8 @@
     Hello {
         /// Its name.
         node: String,
+        /// Where other data planes reach it.
+        peer: String,
         /// The version of the configuration that it has.
         version: u64,
     },
@@ -103,6 +105,15 @@
     Call(ClientCall),
     /// Its answer.
     Reply(ClientReply),
+    /// The data planes that one should tell and watch.
+    Peers(Vec<String>),
+    /// Between data planes.
+    Gossip {
+        /// The sender's peer address.
+        from: String,
+        /// What it says.
+        message: spanlead_dissemination::Message,
+    },
     /// Nothing; the connection is alive.
     Ping,
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`control`]: the control plane. One node of it is primary, keeps the jobs and orders the workers.
 //! - [`data`]: the data plane. Takes clients' requests and hands them to the primary.
+pub mod accept;
 pub mod control;
 pub mod data;
 pub mod disk;
--- /dev/null
+++ b/crates/cluster/tests/disk.rs
@@ -0,0 +1,162 @@
+//! Power is cut at every operation of the disk: what was acknowledged is there, and a transaction is there whole or not.
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use spanlead_cluster::disk::Store;
+use spanlead_replication::{Change, MemberId, Position, Record};
+use std::io;
+use std::sync::{Arc, Mutex};
+
+/// A file: what is on disk, and what was written since the last sync.
+#[derive(Debug, Default)]
+struct File {
+    synced: Vec<u8>,
+    current: Vec<u8>,
+    pending: Vec<(u64, Vec<u8>)>,
+    lengths: Vec<u64>,
+    operations: usize,
+    /// The operation at which power goes.
+    cut_at: Option<usize>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Disk(Arc<Mutex<File>>);
+
+impl Disk {
+    /// Counts an operation; an error once power is gone.
+    fn operate(&self) -> io::Result<std::sync::MutexGuard<'_, File>> {
+        let mut file = self.0.lock().expect("no panic holds it");
+        file.operations += 1;
+        if file.cut_at.is_some_and(|at| file.operations > at) {
+            return Err(io::Error::other("no power"));
+        }
+        Ok(file)
+    }
+
+    /// The file as it is found after the loss of power: each later write is there, torn or missing.
+    fn after_power_loss(&self, rng: &mut ChaCha8Rng) -> Disk {
+        let file = self.0.lock().expect("no panic holds it");
+        let mut found = file.synced.clone();
+        let none = rng.random_bool(0.2);
+        if !none && let Some(length) = file.lengths.last() {
+            found.resize(*length as usize, 0);
+        }
+        for (offset, bytes) in &file.pending {
+            let kept = match rng.random_range(0..3) {
+                _ if none => 0,
+                0 => 0,
+                1 => rng.random_range(0..=bytes.len()),
+                _ => bytes.len(),
+            };
+            let end = *offset as usize + kept;
+            if kept > 0 && found.len() < end {
+                found.resize(end, 0);
+            }
+            found[*offset as usize..].iter_mut().zip(&bytes[..kept]).for_each(|(to, from)| *to = *from);
+        }
+        Disk(Arc::new(Mutex::new(File { synced: found.clone(), current: found, ..File::default() })))
+    }
+
+    fn operations(&self) -> usize {
+        self.0.lock().expect("no panic holds it").operations
+    }
+}
+
+impl redb::StorageBackend for Disk {
+    fn len(&self) -> Result<u64, io::Error> {
+        Ok(self.0.lock().expect("no panic holds it").current.len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), io::Error> {
+        let file = self.0.lock().expect("no panic holds it");
+        let from = offset as usize;
+        let bytes = file.current.get(from..from + out.len()).ok_or(io::ErrorKind::UnexpectedEof)?;
+        out.copy_from_slice(bytes);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> Result<(), io::Error> {
+        let mut file = self.operate()?;
+        file.current.resize(len as usize, 0);
+        file.lengths.push(len);
+        Ok(())
+    }
+
+    fn sync_data(&self) -> Result<(), io::Error> {
+        let mut file = self.operate()?;
+        file.synced = file.current.clone();
+        file.pending.clear();
+        file.lengths.clear();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), io::Error> {
+        let mut file = self.operate()?;
+        let from = offset as usize;
+        file.current[from..from + data.len()].copy_from_slice(data);
+        file.pending.push((offset, data.to_vec()));
+        Ok(())
+    }
+}
+
+const BATCHES: u64 = 12;
+
+/// The records of a batch: three keys that change together, and others that come and go.
+fn batch(number: u64) -> Vec<Record> {
+    let value = number.to_le_bytes().repeat(40);
+    let key = |name: &str| name.as_bytes().to_vec();
+    let mut changes: Vec<Change> =
+        ["a", "b", "c"].map(|name| Change { key: key(name), value: Some(value.clone()) }).into();
+    changes.push(Change { key: key(&format!("n{number}")), value: Some(value.clone()) });
+    if number > 3 {
+        changes.push(Change { key: key(&format!("n{}", number - 3)), value: None });
+    }
+    let position = Position { term: 1, sequence: number };
+    vec![Record::Identity(MemberId(7)), Record::Batch { position, changes }]
+}
+
+/// Writes batches until the disk fails; tells the last one that was acknowledged.
+fn write_all(disk: &Disk) -> u64 {
+    let Ok(store) = Store::on(disk.clone()) else { return 0 };
+    let mut acknowledged = 0;
+    for number in 1..=BATCHES {
+        if store.write(&batch(number)).is_err() {
+            break;
+        }
+        acknowledged = number;
+    }
+    acknowledged
+}
+
+fn check(disk: Disk, acknowledged: u64, at: usize) {
+    let store = Store::on(disk).unwrap_or_else(|error| panic!("cut at {at}: not opened: {error}"));
+    let restored = store.restore().unwrap_or_else(|error| panic!("cut at {at}: not read: {error}"));
+    let found = restored.position.sequence;
+    assert!(found >= acknowledged, "cut at {at}: {acknowledged} was acknowledged, {found} is there");
+    assert!(found <= acknowledged + 1, "cut at {at}: {found} was never written");
+    if found == 0 {
+        return;
+    }
+    assert_eq!(restored.identity, Some(MemberId(7)));
+    let value = found.to_le_bytes().repeat(40);
+    for name in ["a", "b", "c"] {
+        assert_eq!(restored.keyspace.get(name.as_bytes()), Some(value.as_slice()), "cut at {at}: {name}");
+    }
+    let kept = (1..=found).filter(|n| restored.keyspace.get(format!("n{n}").as_bytes()).is_some()).count();
+    assert_eq!(kept as u64, found.min(3), "cut at {at}");
+}
+
+#[test]
+fn a_loss_of_power_at_any_operation_loses_nothing_acknowledged() {
+    let whole = Disk::default();
+    assert_eq!(write_all(&whole), BATCHES);
+    let operations = whole.operations();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for at in 0..=operations {
+        for _ in 0..4 {
+            let disk = Disk::default();
+            disk.0.lock().expect("no panic holds it").cut_at = Some(at);
+            let acknowledged = write_all(&disk);
+            check(disk.after_power_loss(&mut rng), acknowledged, at);
+        }
+    }
+}
--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -50,8 +50,8 @@
     fn heard(&mut self, now: Now, at: u32, clock_ms: u64) {
         let worker = &mut self.workers[at as usize];
         worker.clock.hear(now.steady, clock_ms);
-        worker.misses = 0;
-        if !worker.reachable {
+        if worker.misses > 0 {
+            worker.misses = 0;
             worker.reachable = true;
             self.room_changed = true;
         }
@@ -60,9 +60,11 @@
     fn missed(&mut self, now: Now, at: u32) {
         let worker = &mut self.workers[at as usize];
         worker.misses += 1;
-        worker.avoided_until = worker.avoided_until.max(now.steady + FULL_MS);
         if worker.misses >= MISSES {
             worker.reachable = false;
+        } else {
+            // Nothing is started there until it is heard of again.
+            self.look(now.steady, at);
         }
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -156,7 +156,7 @@
 
     /// Whether it may be told to start something, leaving aside how it is doing.
     pub fn takes(&self) -> bool {
-        self.standing == Standing::Ready && self.fenced && self.reachable
+        self.standing == Standing::Ready && self.fenced && self.reachable && self.misses == 0
     }
 
     pub fn has_labels(&self, wanted: &[String]) -> bool {
