--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -2,8 +2,11 @@
 //!
 //! One thread writes. It takes all records that wait, commits them as one transaction and tells the last one's number.
 use quick_error::quick_error;
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{
+    Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageError, TableDefinition,
+};
 use spanlead_replication::{Change, MemberId, Position, Record, Restored, WitnessRecord};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
@@ -16,6 +19,10 @@
         Store(what: String) {
             display("{}", what)
         }
+        /// The file is no store, or damaged: what it held can't be had.
+        Unreadable(what: String) {
+            display("{}", what)
+        }
         /// A record that this version can't read.
         Form(name: &'static str) {
             display("{}: not of this version", name)
@@ -36,6 +43,8 @@
 const POSITION: &str = "position";
 /// The file in the folder.
 const FILE: &str = "control.redb";
+/// What it is called if it can't be read.
+const ASIDE: &str = "control.redb.unreadable";
 /// How long after a refusal the disk is tried again.
 const AGAIN: Duration = Duration::from_millis(250);
 /// Memory for pages of the file, bytes.
@@ -48,14 +57,24 @@
 }
 
 impl Store {
-    /// Opens the folder's file, or makes it.
+    /// Opens the folder's file, or makes it. One that can't be read is set aside: power went before it was ever
+    /// finished, or it is damaged. To the others this machine has then lost its disk, which they bear.
     ///
     /// # Errors
     /// If it can't be read or written.
     pub fn open(folder: &Path) -> Result<Self, DiskError> {
         std::fs::create_dir_all(folder).map_err(|error| DiskError::Store(error.to_string()))?;
-        let database = redb::Builder::new().set_cache_size(CACHE).create(folder.join(FILE))?;
-        Store::with(database)
+        let file = folder.join(FILE);
+        let open = || Store::with(redb::Builder::new().set_cache_size(CACHE).create(&file));
+        match open() {
+            Err(DiskError::Unreadable(why)) => {
+                log::error!("{}: {why}; set aside", file.display());
+                let aside = folder.join(ASIDE);
+                std::fs::rename(&file, aside).map_err(|error| DiskError::Store(error.to_string()))?;
+                open()
+            }
+            opened => opened,
+        }
     }
 
     /// A store on any backend, for tests.
@@ -63,10 +82,17 @@
     /// # Errors
     /// If it can't be read or written.
     pub fn on(backend: impl redb::StorageBackend) -> Result<Self, DiskError> {
-        Store::with(redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend)?)
+        Store::with(redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend))
     }
 
-    fn with(database: Database) -> Result<Self, DiskError> {
+    fn with(opened: Result<Database, DatabaseError>) -> Result<Self, DiskError> {
+        let database = opened.map_err(|error| match error {
+            DatabaseError::Storage(StorageError::Corrupted(what)) => DiskError::Unreadable(what),
+            DatabaseError::Storage(StorageError::Io(io)) if io.kind() == ErrorKind::InvalidData => {
+                DiskError::Unreadable(io.to_string())
+            }
+            other => DiskError::from(other),
+        })?;
         let transaction = database.begin_write()?;
         transaction.open_table(ENTRIES)?;
         transaction.open_table(NODE)?;
