--- a/crates/cluster/src/control/mod.rs
+++ b/crates/cluster/src/control/mod.rs
@@ -5,9 +5,11 @@
 mod configurations;
 mod node;
 mod operator;
+mod status;
 
 pub use configurations::{Configurations, Taken};
 pub use node::{Input, Node, Reply};
+pub use status::Question;
 
 use crate::accept;
 use crate::disk::{DiskError, Store, Writer};
--- a/crates/cluster/src/control/node.rs
+++ b/crates/cluster/src/control/node.rs
@@ -1,5 +1,6 @@
 //! The node: replica, scheduler and configuration of one machine, and what goes between them and the outside.
 use crate::control::configurations::{Configurations, Taken};
+use crate::control::status::{self, Question};
 use crate::disk::Writer;
 use crate::frame::{Ask, ClientCall, ClientReply, ConfigurationText, Directory, Frame};
 use crate::link::Links;
@@ -56,6 +57,8 @@
     Replace(u64, String, Sender<Reply>),
     /// An operator asks for the configuration.
     Read(Sender<Reply>),
+    /// An operator looks into this node.
+    Status(Question, Sender<Reply>),
     /// The process is to end.
     Terminate,
 }
@@ -172,6 +175,7 @@
             Input::Listed(list) => self.listed(list),
             Input::Replace(base, text, answers) => self.replace(base, &text, answers),
             Input::Read(answers) => self.read(answers),
+            Input::Status(question, answers) => self.status(&question, &answers),
             Input::Terminate => {
                 log::info!("told to end");
                 self.terminate_at.get_or_insert(now.steady);
@@ -395,6 +399,31 @@
         self.answer_when_durable(Waiting::Operator(answers, reply));
     }
 
+    fn status(&self, question: &Question, answers: &Sender<Reply>) {
+        let path = match question {
+            Question::Members => "/status/members".to_owned(),
+            Question::Workers => "/status/workers".to_owned(),
+            Question::Jobs => "/status/jobs".to_owned(),
+            Question::Job(id) => format!("/status/jobs/{id:016x}"),
+        };
+        if let Some(elsewhere) = self.elsewhere(&path) {
+            let _ = answers.try_send(elsewhere);
+            return;
+        }
+        let Some(serving) = &self.serving else { return };
+        let found = match question {
+            Question::Members => Some(status::members(&self.replica)),
+            Question::Workers => Some(status::workers(&serving.scheduler, self.clock.steady())),
+            Question::Jobs => Some(status::jobs(&serving.scheduler)),
+            Question::Job(id) => status::job(&serving.scheduler, *id),
+        };
+        let reply = match found {
+            Some(value) => Reply { status: 200, body: value.to_string(), location: None },
+            None => Reply { status: 410, body: "no such job".to_owned(), location: None },
+        };
+        let _ = answers.try_send(reply);
+    }
+
     /// The answer of a node that doesn't serve: who does.
     fn elsewhere(&self, path: &str) -> Option<Reply> {
         if self.serving.is_some() && self.replica.active(self.clock.steady()).is_some() {
@@ -572,7 +601,7 @@
     ClientReply { serial, status: 0, body: String::new() }
 }
 
-fn word(state: State) -> &'static str {
+pub(super) fn word(state: State) -> &'static str {
     match state {
         State::Queued => "queued",
         State::Running => "running",
@@ -582,7 +611,7 @@
     }
 }
 
-fn job_id(name: &str) -> Option<u64> {
+pub(super) fn job_id(name: &str) -> Option<u64> {
     (name.len() == 16).then(|| u64::from_str_radix(name, 16).ok()).flatten()
 }
 
--- a/crates/cluster/src/control/operator.rs
+++ b/crates/cluster/src/control/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' interface over HTTP.
-use crate::control::{Input, Reply};
+use crate::control::node::job_id;
+use crate::control::{Input, Question, Reply};
 use async_std::channel::{Sender, bounded};
 use async_std::future::timeout;
 use async_std::task;
@@ -21,6 +22,10 @@
         let mut app = tide::with_state(inputs.clone());
         app.at("/config/replace").post(replace);
         app.at("/config/get").get(get);
+        app.at("/status/members").get(|request| status(request, Question::Members));
+        app.at("/status/workers").get(|request| status(request, Question::Workers));
+        app.at("/status/jobs").get(|request| status(request, Question::Jobs));
+        app.at("/status/jobs/:id").get(job);
         if let Err(error) = app.listen(&address).await {
             log::error!("{address}: {error}");
         }
@@ -46,6 +51,17 @@
     ask(request.state(), Input::Read).await
 }
 
+async fn status(request: Request<Sender<Input>>, question: Question) -> tide::Result {
+    ask(request.state(), |answers| Input::Status(question, answers)).await
+}
+
+async fn job(request: Request<Sender<Input>>) -> tide::Result {
+    match request.param("id").ok().and_then(job_id) {
+        Some(id) => status(request, Question::Job(id)).await,
+        None => Ok(plain(400, "not 16 hex digits")),
+    }
+}
+
 async fn ask(inputs: &Sender<Input>, input: impl FnOnce(Sender<Reply>) -> Input) -> tide::Result {
     let (answers, answer) = bounded(1);
     inputs.send(input(answers)).await?;
--- /dev/null
+++ b/crates/cluster/src/control/status.rs
@@ -0,0 +1,94 @@
+//! What operators see of a node that serves, as JSON.
+use serde::Serialize;
+use serde_json::{Value, json};
+use spanlead_jobs::Scheduler;
+use spanlead_replication::Replica;
+
+/// What an operator asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// The members of the control plane.
+    Members,
+    /// The workers.
+    Workers,
+    /// How many jobs, tasks and events there are.
+    Jobs,
+    /// One job.
+    Job(u64),
+}
+
+#[derive(Serialize)]
+struct MemberView {
+    node: String,
+    peer: String,
+    control: String,
+    primary: bool,
+    in_sync: bool,
+    /// Batches that it has not yet on disk; none if it is not heard.
+    lag: Option<u64>,
+}
+
+/// The members as the primary sees them.
+#[must_use]
+pub fn members(replica: &Replica) -> Value {
+    let Some(view) = replica.view() else { return json!({ "members": [] }) };
+    let last = replica.position().sequence;
+    let members: Vec<MemberView> = replica
+        .followers()
+        .into_iter()
+        .map(|(member, acked)| MemberView {
+            primary: member.id == view.primary,
+            in_sync: view.in_sync.contains(&member.id),
+            lag: acked.map(|acked| last.saturating_sub(acked)),
+            node: member.node,
+            peer: member.peer,
+            control: member.control,
+        })
+        .collect();
+    json!({ "epoch": view.epoch, "term": view.term, "sequence": last, "members": members })
+}
+
+/// The workers.
+#[must_use]
+pub fn workers(scheduler: &Scheduler, now: u64) -> Value {
+    let workers: Vec<Value> = scheduler
+        .inspect_workers(now)
+        .into_iter()
+        .map(|w| {
+            json!({ "id": w.id, "service": w.service, "standing": w.standing, "runs": w.runs,
+                "cpuUsed": w.cpu.0, "cpu": w.cpu.1, "memUsedMb": w.mem_mb.0, "memMb": w.mem_mb.1 })
+        })
+        .collect();
+    json!({ "workers": workers })
+}
+
+/// Counts.
+#[must_use]
+pub fn jobs(scheduler: &Scheduler) -> Value {
+    let (jobs, waiting, runs, events) = scheduler.counts();
+    json!({ "jobs": jobs, "waiting": waiting, "runs": runs, "events": events })
+}
+
+/// One job; `None` if there is none.
+#[must_use]
+pub fn job(scheduler: &Scheduler, id: u64) -> Option<Value> {
+    let job = scheduler.inspect(id)?;
+    let open: Vec<Value> = job
+        .open
+        .into_iter()
+        .map(|task| {
+            let runs: Vec<Value> = task
+                .runs
+                .into_iter()
+                .map(|r| {
+                    json!({ "run": r.run, "worker": r.worker, "phase": r.phase, "stopping": r.stopping,
+                        "percent": r.percent })
+                })
+                .collect();
+            json!({ "task": task.task, "failedRuns": task.failed, "runs": runs, "waitsForRoom": task.waits })
+        })
+        .collect();
+    let state = super::node::word(job.state);
+    Some(json!({ "state": state, "service": job.service, "acceptedAtMs": job.accepted_at,
+        "tasksDone": job.done, "openTasks": open }))
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -1,14 +1,10 @@
 //! Workers, a list of them, clients and a scheduler that dies and comes back, all in memory and moved by a seed. The
 //! rules are checked at every start and end.
-pub mod rules;
-pub mod worker;
-
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rules::Rules;
 use spanlead_jobs::*;
+use spanlead_trial::{GANG_MS, MAX_HOLD_MS, Rules, STOP_MS, Worker};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use worker::SimWorker;
 
 pub const STEP_MS: u64 = 5;
 /// How long a batch of records takes to last.
@@ -17,9 +13,9 @@
 const LIST_LAG_MS: u64 = 800;
 
 pub const BOUNDS: Bounds = Bounds {
-    max_hold_ms: 6_000,
-    gang_ms: 3_000,
-    stop_ms: 400,
+    max_hold_ms: MAX_HOLD_MS,
+    gang_ms: GANG_MS,
+    stop_ms: STOP_MS,
     restore_ms: 600,
     status_ms: 120_000,
     far_factor: 3.0,
@@ -35,7 +31,7 @@
 pub struct World {
     pub now: u64,
     pub rng: ChaCha8Rng,
-    pub workers: Vec<SimWorker>,
+    pub workers: Vec<Worker>,
     pub scheduler: Option<Scheduler>,
     fence: u64,
     durable: BTreeMap<Vec<u8>, Vec<u8>>,
@@ -60,7 +56,7 @@
 impl World {
     pub fn new(seed: u64, workers: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let workers = (0..workers).map(|i| SimWorker::new(i, 0, 1_000_000, &mut rng)).collect();
+        let workers = (0..workers).map(|i| Worker::new(i, 0, 1_000_000, &mut rng)).collect();
         let mut world = World {
             now: 1_000_000,
             rng,
@@ -145,7 +141,7 @@
     pub fn crash_worker(&mut self, i: usize) {
         let generation = self.workers[i].generation + 1;
         self.rules.crashed(&self.workers[i].id);
-        self.workers[i] = SimWorker::new(i, generation, self.now, &mut self.rng);
+        self.workers[i] = Worker::new(i, generation, self.now, &mut self.rng);
     }
 
     pub fn run(&mut self, ms: u64) {
@@ -175,6 +171,7 @@
             scheduler.tick(now);
         }
         self.flush();
+        assert!(self.rules.broken.is_empty(), "at {}: {:?}", self.now, self.rules.broken);
     }
 
     fn commit(&mut self) {
@@ -293,8 +290,8 @@
             return;
         }
         self.listed_at = self.now;
-        let known = |w: &&SimWorker| self.now >= w.born + LIST_LAG_MS || w.generation == 0;
-        let list: Vec<Listed> = self.workers.iter().filter(known).map(SimWorker::listed).collect();
+        let known = |w: &&Worker| self.now >= w.born + LIST_LAG_MS || w.generation == 0;
+        let list: Vec<Listed> = self.workers.iter().filter(known).map(Worker::listed).collect();
         let now = self.clock();
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.listed(now, &list);
--- a/crates/replication/tests/simulation.rs
+++ b/crates/replication/tests/simulation.rs
@@ -31,7 +31,7 @@
             _ => rng.random_range(0..count),
         };
         world.run(rng.random_range(0..40));
-        let kind = rng.random_range(0..6);
+        let kind = rng.random_range(0..8);
         match kind {
             0 => {
                 world.kill(i);
@@ -63,6 +63,20 @@
                 world.run(rng.random_range(300..5_000));
                 world.cuts.clear();
             }
+            5 => {
+                // Two that don't hear one another, while the others hear both.
+                let other = (i + 1) % count;
+                world.cuts.extend([(i, other), (other, i)]);
+                world.run(rng.random_range(1_000..4_000));
+                world.cuts.clear();
+            }
+            6 => {
+                // One goes on alone for a while, then loses its disk while the others return.
+                (0..count).filter(|o| *o != i).for_each(|o| world.kill(o));
+                world.run(rng.random_range(300..1_200));
+                world.wipe(i);
+                (0..count).for_each(|i| world.boot(i));
+            }
             _ => {
                 // The wiped one and a loss of power of all the others, as they acknowledge.
                 world.wipe(i);
--- a/crates/jobs/tests/common/rules.rs
+++ b/crates/trial/src/rules.rs
@@ -1,5 +1,5 @@
-//! The rules, as the operators' pages have them, judged by what the workers see.
-use super::worker::SimWorker;
+//! The rules that must hold, judged by what workers and clients see.
+use crate::worker::Worker;
 use spanlead_jobs::{JobSpec, TaskKey};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,8 +12,11 @@
     at: u64,
 }
 
+/// The checker: it is told what happens, and keeps what broke.
 #[derive(Debug, Default)]
 pub struct Rules {
+    /// What broke, with the task or job.
+    pub broken: Vec<String>,
     specs: BTreeMap<u64, JobSpec>,
     running: BTreeMap<TaskKey, BTreeSet<(String, u32)>>,
     /// Tasks with an end `done` anywhere.
@@ -23,40 +26,56 @@
     failed: Vec<(String, u64, TaskKey)>,
     noted_failed: BTreeMap<TaskKey, u32>,
     last_start: BTreeMap<TaskKey, u64>,
+    /// Tasks that were started.
     pub starts: u64,
+    /// Failed runs after which a task may not start again.
     pub attempts: u32,
 }
 
 impl Rules {
+    /// A client hands a job in.
     pub fn asked(&mut self, id: u64, spec: &JobSpec) {
         self.specs.insert(id, spec.clone());
         self.attempts = 3;
     }
 
-    pub fn stage(&self, task: TaskKey) -> &spanlead_jobs::Stage {
-        &self.specs[&task.job].stages[usize::from(task.stage)]
+    /// The step of a task.
+    pub fn stage(&self, task: TaskKey) -> Option<&spanlead_jobs::Stage> {
+        self.specs.get(&task.job)?.stages.get(usize::from(task.stage))
     }
 
+    /// A worker starts a task.
     pub fn started(&mut self, now: u64, worker: &str, task: TaskKey, run: u32) {
         self.starts += 1;
-        let spec = self.specs.get(&task.job).unwrap_or_else(|| panic!("UNASKED: {task}"));
+        let Some(spec) = self.specs.get(&task.job) else {
+            return self.broken.push(format!("UNASKED: {task} on {worker}"));
+        };
         let stage = &spec.stages[usize::from(task.stage)];
         let elsewhere = self.running.entry(task).or_default();
-        assert!(elsewhere.is_empty(), "TWICE: {task} run {run} on {worker} beside {elsewhere:?} at {now}");
+        if !elsewhere.is_empty() {
+            self.broken.push(format!("TWICE: {task} run {run} on {worker} beside {elsewhere:?} at {now}"));
+        }
         elsewhere.insert((worker.to_owned(), run));
-        assert!(!self.noted_done.contains(&task), "TWICE: {task} run {run} after its end was noted");
+        if self.noted_done.contains(&task) {
+            self.broken.push(format!("TWICE: {task} run {run} after its end was noted"));
+        }
         for before in &stage.depends_on {
             for index in 0..spec.stages[usize::from(*before)].count {
                 let needed = TaskKey { stage: *before, index, ..task };
-                assert!(self.done.contains(&needed), "ORDER: {task} before {needed}");
+                if !self.done.contains(&needed) {
+                    self.broken.push(format!("ORDER: {task} before {needed}"));
+                }
             }
         }
         let counted = if stage.gang { TaskKey { index: 0, ..task } } else { task };
         let failed = self.noted_failed.get(&counted).copied().unwrap_or(0);
-        assert!(stage.gang || failed < self.attempts, "BUDGET: {task} after {failed} failed runs");
+        if !stage.gang && failed >= self.attempts {
+            self.broken.push(format!("BUDGET: {task} after {failed} failed runs"));
+        }
         self.last_start.insert(task, now);
     }
 
+    /// A run ends on a worker.
     pub fn ended(&mut self, now: u64, worker: &str, number: u64, task: TaskKey, run: u32, how: &str) {
         if let Some(running) = self.running.get_mut(&task) {
             running.remove(&(worker.to_owned(), run));
@@ -76,22 +95,22 @@
         self.ends.retain(|end| end.worker != worker);
     }
 
+    /// A worker is gone, with all that it had to tell.
     pub fn crashed(&mut self, worker: &str) {
         self.ends.retain(|end| end.worker != worker);
         self.failed.retain(|(w, _, _)| w != worker);
         self.running.values_mut().for_each(|running| running.retain(|(w, _)| w != worker));
     }
 
+    /// A worker was told that its ends up to a number are known.
     pub fn noted(&mut self, worker: &str, last_seen: u64) {
         let seen = |end: &DoneEnd| end.worker == worker && end.number <= last_seen;
         for end in self.ends.iter().filter(|end| seen(end)) {
             let after = self.last_start.get(&end.task).copied().unwrap_or(0);
-            assert!(
-                after <= end.at,
-                "TWICE: {} was started at {after}, after its end at {}",
-                end.task,
-                end.at
-            );
+            if after > end.at {
+                self.broken
+                    .push(format!("TWICE: {} was started at {after}, after its end at {}", end.task, end.at));
+            }
             self.noted_done.insert(end.task);
         }
         self.ends.retain(|end| !seen(end));
@@ -104,7 +123,7 @@
 
     /// Whether all tasks of a job have ended `done`.
     pub fn all_done(&self, job: u64) -> bool {
-        let spec = &self.specs[&job];
+        let Some(spec) = self.specs.get(&job) else { return false };
         (0..spec.times()).all(|occurrence| {
             spec.stages.iter().enumerate().all(|(stage, s)| {
                 let key = |index| TaskKey { job, occurrence, stage: stage as u16, index };
@@ -115,7 +134,7 @@
     }
 
     /// Gangs work while all their members are there, and end together.
-    pub fn finish_gangs(&mut self, workers: &mut [SimWorker], now: u64) {
+    pub fn finish_gangs(&mut self, workers: &mut [Worker], now: u64) {
         let mut gangs: BTreeMap<(TaskKey, u32), Vec<(usize, TaskKey)>> = BTreeMap::new();
         for (at, worker) in workers.iter().enumerate() {
             for run in worker.running.iter().filter(|r| r.gang) {
@@ -124,7 +143,7 @@
             }
         }
         for ((key, run), members) in gangs {
-            let all = self.stage(key).count as usize;
+            let all = self.stage(key).map_or(0, |stage| stage.count) as usize;
             let complete = members.len() == all;
             let each: Vec<bool> =
                 members.iter().map(|(at, task)| workers[*at].gang_due(now, *task, run, complete)).collect();
--- a/crates/jobs/tests/common/worker.rs
+++ b/crates/trial/src/worker.rs
@@ -1,6 +1,5 @@
 //! A worker that behaves as the protocol says.
-use super::BOUNDS;
-use super::rules::Rules;
+use crate::rules::Rules;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use spanlead_jobs::*;
@@ -8,9 +7,12 @@
 
 /// A task that runs here.
 #[derive(Clone, Debug)]
-pub struct SimRun {
+pub struct HeldRun {
+    /// Which.
     pub task: TaskKey,
+    /// Which start of it.
     pub run: u32,
+    /// Whether it works only together with its siblings.
     pub gang: bool,
     began: u64,
     takes: u64,
@@ -21,32 +23,49 @@
 
 /// A worker.
 #[derive(Clone, Debug)]
-pub struct SimWorker {
+pub struct Worker {
+    /// Its identifier: another for each incarnation.
     pub id: String,
     index: usize,
+    /// Which incarnation it is.
     pub generation: u32,
+    /// When it began, milliseconds.
     pub born: u64,
     /// Its clock's speed: up to 2% slow.
     rate: f64,
+    /// Nobody reaches it until then.
     pub cut_until: u64,
     /// The share of tasks that fail here.
     pub failing: f64,
     fence: u64,
     hold_until: u64,
-    pub running: Vec<SimRun>,
+    /// What runs.
+    pub running: Vec<HeldRun>,
+    /// Ends that it still tells.
     pub finished: Vec<FinishedTask>,
     number: u64,
     last_seen: u64,
     ended: BTreeMap<TaskKey, u32>,
+    /// Whether it turns away what does not fit.
     pub guards: bool,
+    /// Where it is reached.
+    pub address: String,
 }
 
+/// The longest that a worker holds what runs there, milliseconds.
+pub const MAX_HOLD_MS: u64 = 6_000;
+/// How long a gang's members wait for one another, milliseconds.
+pub const GANG_MS: u64 = 3_000;
+/// How long a stop takes at most, milliseconds.
+pub const STOP_MS: u64 = 400;
 /// What a worker has: thousandths of a core and MB.
 pub const CAPACITY: (u64, u64) = (8_000, 16_000);
 
-impl SimWorker {
+impl Worker {
+    /// A worker of that place and generation.
+    #[must_use]
     pub fn new(index: usize, generation: u32, now: u64, rng: &mut ChaCha8Rng) -> Self {
-        SimWorker {
+        Worker {
             id: format!("i-{index}-{generation}"),
             index,
             generation,
@@ -62,14 +81,17 @@
             last_seen: 0,
             ended: BTreeMap::new(),
             guards: index.is_multiple_of(2),
+            address: index.to_string(),
         }
     }
 
+    /// What the platform's list says of it.
+    #[must_use]
     pub fn listed(&self) -> Listed {
         Listed {
             id: self.id.as_str().into(),
             service: "s".into(),
-            address: self.index.to_string().into(),
+            address: self.address.as_str().into(),
             zone: "z".into(),
             state: ListedState::Ready,
             cpu: CAPACITY.0,
@@ -84,7 +106,7 @@
     }
 
     fn room(&self) -> (u64, u64) {
-        let used = |pick: fn(&SimRun) -> u64| self.running.iter().map(pick).sum::<u64>();
+        let used = |pick: fn(&HeldRun) -> u64| self.running.iter().map(pick).sum::<u64>();
         (CAPACITY.0.saturating_sub(used(|r| r.need.0)), CAPACITY.1.saturating_sub(used(|r| r.need.1)))
     }
 
@@ -103,7 +125,7 @@
                 "stopped"
             } else if !run.gang && now >= run.began + run.takes {
                 if rng.random_bool(self.failing) { "failed" } else { "done" }
-            } else if run.gang && run.complete_since.is_none() && now > run.began + BOUNDS.gang_ms {
+            } else if run.gang && run.complete_since.is_none() && now > run.began + GANG_MS {
                 "alone"
             } else {
                 continue;
@@ -125,6 +147,7 @@
         held.complete_since.is_some_and(|at| now >= at + held.takes)
     }
 
+    /// A run ends.
     pub fn end(&mut self, now: u64, task: TaskKey, run: u32, how: &str, rules: &mut Rules) {
         self.running.retain(|r| (r.task, r.run) != (task, run));
         let highest = self.ended.entry(task).or_default();
@@ -155,22 +178,27 @@
                 if *until_ms < clock {
                     return refused("late");
                 }
-                self.hold_until = self.hold_until.max((*until_ms).min(clock + BOUNDS.max_hold_ms));
+                self.hold_until = self.hold_until.max((*until_ms).min(clock + MAX_HOLD_MS));
                 if self.running.iter().any(|r| (r.task, r.run) == (*task, *run)) {
                     return Reply::Done { clock_ms: clock };
                 }
                 if self.ended.get(task).is_some_and(|ended| *run <= *ended) {
                     return refused("old");
                 }
-                let stage = rules.stage(*task).clone();
+                let Some(stage) = rules.stage(*task).cloned() else {
+                    rules.broken.push(format!("UNASKED: {task} on {}", self.id));
+                    return Reply::Refused { status: 400, reason: "unknown".into() };
+                };
                 let (cpu, mem) = self.room();
                 let fits = stage.cpu <= cpu && stage.mem_mb <= mem;
                 if self.guards && !fits {
                     return refused("room");
                 }
-                assert!(fits, "LIMIT: {task} on {} at {now}", self.id);
+                if !fits {
+                    rules.broken.push(format!("LIMIT: {task} on {} at {now}", self.id));
+                }
                 rules.started(now, &self.id, *task, *run);
-                self.running.push(SimRun {
+                self.running.push(HeldRun {
                     task: *task,
                     run: *run,
                     gang: stage.gang,
@@ -186,7 +214,7 @@
                 *highest = (*run).max(*highest);
                 let held = self.running.iter_mut().find(|r| (r.task, r.run) == (*task, *run));
                 if let Some(held) = held {
-                    held.stopping_until.get_or_insert(now + BOUNDS.stop_ms / 2);
+                    held.stopping_until.get_or_insert(now + STOP_MS / 2);
                 }
             }
             Order::Hold { .. } => {}
@@ -202,7 +230,7 @@
         let Order::Hold { until_ms, last_seen, .. } = &call.order else { return None };
         let clock = self.clock(now);
         if let Some(until_ms) = until_ms {
-            self.hold_until = self.hold_until.max((*until_ms).min(clock + BOUNDS.max_hold_ms));
+            self.hold_until = self.hold_until.max((*until_ms).min(clock + MAX_HOLD_MS));
         }
         if *last_seen > self.last_seen {
             self.last_seen = *last_seen;
@@ -212,6 +240,8 @@
         None
     }
 
+    /// The answer to a hold.
+    #[must_use]
     pub fn report(&self, now: u64, last_seen: u64) -> WorkerReport {
         let running = self.running.iter().map(|r| RunningTask {
             task: r.task,
