Let starts share a batch with what they follow from

Cause: half of the first starts came 43 ms after the hand-in: a job's record and its starts went in two batches, and places were looked for at ticks of 20 ms only. Change: places are looked for whenever something came in, before the batch is made; answers are decided first and wait for that batch.

--- a/crates/cluster/src/control/node.rs
+++ b/crates/cluster/src/control/node.rs
@@ -77,6 +77,8 @@
     scheduler: Scheduler,
     configurations: Configurations,
     sequence: u64,
+    /// Answers whose batch has not been made yet, and those that wait for their batch to last.
+    decided: Vec<Waiting>,
     waiting: VecDeque<(u64, Waiting)>,
     list_at: u64,
     listing: bool,
@@ -201,13 +203,31 @@
 
     /// Writes what was decided, and does what no longer waits.
     pub fn flush(&mut self) {
+        let now = self.clock.now();
+        if let Some(serving) = &mut self.serving {
+            serving.scheduler.place(now);
+        }
         self.write();
+        self.answer();
         self.act();
         // What was done may have brought new records.
         self.write();
         self.act();
     }
 
+    /// Answers what rests on nothing that is still to be written, and lets the rest wait.
+    fn answer(&mut self) {
+        let committed = self.replica.committed();
+        let Some(serving) = &mut self.serving else { return };
+        for waiting in std::mem::take(&mut serving.decided) {
+            if committed >= serving.sequence {
+                answer(waiting);
+            } else {
+                serving.waiting.push_back((serving.sequence, waiting));
+            }
+        }
+    }
+
     fn frame(&mut self, frame: Frame, answers: Option<Sender<Frame>>) {
         match frame {
             Frame::Replication(envelope) => self.replicate(replication::Input::Message(envelope)),
@@ -266,6 +286,7 @@
             scheduler,
             configurations: Configurations::load(self.replica.keyspace()),
             sequence: self.replica.position().sequence,
+            decided: Vec::new(),
             waiting: VecDeque::new(),
             list_at: 0,
             listing: false,
@@ -277,7 +298,8 @@
     fn deactivate(&mut self) {
         let Some(serving) = self.serving.take() else { return };
         log::info!("no longer serving term {}", serving.term);
-        for (_, waiting) in serving.waiting {
+        let waiting = serving.waiting.into_iter().map(|(_, waiting)| waiting);
+        for waiting in waiting.chain(serving.decided) {
             match waiting {
                 Waiting::Client(answers, reply) => {
                     let _ = answers.try_send(Frame::Reply(unable(reply.serial)));
@@ -351,15 +373,10 @@
         self.answer_when_durable(Waiting::Client(answers, reply));
     }
 
-    /// Answers when everything that the answer may rest on lasts.
+    /// Answers when everything that the answer may rest on lasts. What came in together shares a batch.
     fn answer_when_durable(&mut self, waiting: Waiting) {
-        self.write();
-        let committed = self.replica.committed();
-        let Some(serving) = &mut self.serving else { return };
-        if committed >= serving.sequence {
-            answer(waiting);
-        } else {
-            serving.waiting.push_back((serving.sequence, waiting));
+        if let Some(serving) = &mut self.serving {
+            serving.decided.push(waiting);
         }
     }
 
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -220,8 +220,7 @@
             }
             let lost = stage.est_runtime_ms as f64 * (self.bounds.far_factor - 1.0);
             if (waited as f64) < lost * NEAR_PATIENCE && self.rack_serves(service, near) {
-                // Time alone may change the answer.
-                self.room_changed = true;
+                self.place_again = true;
                 return None;
             }
         }
@@ -294,7 +293,7 @@
             placed = self.gang_on_one_rack(now, &members, stage, service);
             let lost = stage.est_runtime_ms as f64 * (self.bounds.far_factor - 1.0);
             if placed.is_none() && (waited as f64) < lost * RACK_PATIENCE {
-                self.room_changed = true;
+                self.place_again = true;
                 return false;
             }
         }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -98,6 +98,8 @@
     pub(crate) ready: BTreeMap<ReadyKey, u64>,
     pub(crate) timed: BTreeSet<(u64, u64, u32)>,
     pub(crate) room_changed: bool,
+    /// Something waits for time to pass: it is looked at again at the next tick.
+    pub(crate) place_again: bool,
     /// Services most of whose workers are left alone just now.
     pub(crate) panicking: FxHashSet<CompactString>,
     pub(crate) listed_at: Option<u64>,
@@ -131,6 +133,7 @@
             ready: BTreeMap::new(),
             timed: BTreeSet::new(),
             room_changed: false,
+            place_again: false,
             panicking: FxHashSet::default(),
             listed_at: None,
             serial: 0,
@@ -207,6 +210,7 @@
         self.unix = now.unix;
         self.begin_times(now);
         self.expire_workers(now);
+        self.room_changed |= std::mem::take(&mut self.place_again);
         self.place_ready(now);
         self.resend_stops(now.steady);
         self.send_holds(now.steady);
@@ -218,6 +222,12 @@
         }
     }
 
+    /// Places what came in, so that its starts share a batch with what they follow from.
+    pub fn place(&mut self, now: Now) {
+        self.unix = now.unix;
+        self.place_ready(now);
+    }
+
     /// Begins the times of timed jobs that are due.
     fn begin_times(&mut self, now: Now) {
         while let Some((due, id, _)) = self.timed.first().copied() {
