--- a/crates/oatdock/src/choice.rs
+++ b/crates/oatdock/src/choice.rs
@@ -328,7 +328,7 @@
     pub fn neighbours(&self, worker: &str) -> Vec<WorkerId> {
         let Some(&at) = self.index.get(worker) else { return Vec::new() };
         let graph = &self.graphs[0];
-        let edges = if graph.len() == 0 { 0 } else { 2 * CYCLES };
+        let edges = if graph.is_empty() { 0 } else { 2 * CYCLES };
         let ids = (0..edges).map(|e| graph.neighbour(&self.workers, at, e));
         ids.map(|w| self.workers[w as usize].id.clone()).collect()
     }
