Build a fresh run in one place, for orders and for recovery

Cause: the record of a new start stood twice, in the fold of an order and in recovery. Change: Run::new serves both; behaviour as it was.

--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -102,21 +102,7 @@
         job.touched = true;
         let Some(task) = self.task_mut(key) else { return };
         task.last_run = task.last_run.max(run);
-        task.active.push(Run {
-            run,
-            worker,
-            phase: Phase::Recorded,
-            settled: None,
-            ordered_at: now,
-            percent: 0.0,
-            progress_at: now,
-            started_at: now,
-            told_at: now,
-            saved: CompactString::default(),
-            judged: false,
-            stopping: false,
-            stop_sent_at: 0,
-        });
+        task.active.push(Run::new(run, worker, Phase::Recorded, now));
         let worker = &mut self.workers[worker as usize];
         worker.used = worker.used.plus(need);
         worker.runs.insert((key, run));
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -62,6 +62,27 @@
     pub stop_sent_at: u64,
 }
 
+impl Run {
+    /// A start of which nothing was heard yet.
+    pub fn new(run: u32, worker: u32, phase: Phase, now: u64) -> Self {
+        Run {
+            run,
+            worker,
+            phase,
+            settled: None,
+            ordered_at: now,
+            percent: 0.0,
+            progress_at: now,
+            started_at: now,
+            told_at: now,
+            saved: CompactString::default(),
+            judged: false,
+            stopping: false,
+            stop_sent_at: 0,
+        }
+    }
+}
+
 /// A task.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -55,21 +55,7 @@
         for (run, worker) in record.active {
             let worker = self.placeholder(now, &worker);
             let Some(task) = self.task_mut(key) else { return };
-            task.active.push(Run {
-                run,
-                worker,
-                phase: Phase::Unknown,
-                settled: None,
-                ordered_at: now.steady,
-                percent: 0.0,
-                progress_at: now.steady,
-                started_at: now.steady,
-                told_at: now.steady,
-                saved: Default::default(),
-                judged: false,
-                stopping: false,
-                stop_sent_at: 0,
-            });
+            task.active.push(Run::new(run, worker, Phase::Unknown, now.steady));
             let worker = &mut self.workers[worker as usize];
             worker.used = worker.used.plus(need);
             worker.runs.insert((key, run));
