Let workers forget only the ends whose own batch lasts

Cause: when a batch was committed, a worker's `lastSeen` went up to all ends that had been taken by that moment, also those of a later answer whose records were in a batch still on its way. If the primary was lost then, the next one did not know an end that the worker had forgotten, and started the task again (TWICE). It takes two answers of one worker within the time of a commit, which is what a stop's look brings: the more is stopped, the more often. Also `holds_from` was set at each worker without room, so the next look began with the last one skipped, not the first. Ruled out: a commit in a view that was not in force (`commit_point` asks both in-sync sets), and a primary that proposes nothing while it serves (the notice that ends its serving comes in the same step). Change: what is staged names the number up to which ends are recorded; the next look begins with the first worker skipped.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -132,7 +132,7 @@
                 worker.hold = HoldState::Recording;
                 worker.hold_at = now.steady + RECORD_MS;
             }
-            self.stage_hold(at);
+            self.stage_forget(at);
         }
     }
 
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -101,6 +101,7 @@
         let room = |share: f64| ((self.bounds.max_calls as f64 * share) as usize).max(LEAST_CALLS);
         let (busy_room, unknown_room, idle_room) = (room(HOLD_SHARE), room(UNKNOWN_SHARE), room(IDLE_SHARE));
         let first = self.holds_from;
+        let mut skipped = None;
         for step in 0..count {
             let at = (first + step) % count;
             let worker = &self.workers[at as usize];
@@ -116,8 +117,7 @@
                 (true, false) => idle_room,
             };
             if self.calls_out >= room {
-                // The next look begins here, so that all have their turn.
-                self.holds_from = at;
+                skipped = skipped.or(Some(at));
                 continue;
             }
             let wait_ms = match known {
@@ -131,6 +131,8 @@
             worker.hold_serial = self.serial;
             self.call(at, order, wait_ms + HOLD_TIMEOUT_MS);
         }
+        // The next look begins with the first that found no room, so that all have their turn.
+        self.holds_from = skipped.unwrap_or(first);
     }
 
     /// Has a worker that something was started on asked now rather than when its idle time is over.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -74,7 +74,11 @@
 #[derive(Clone, Copy, Debug)]
 enum Staged {
     Start(TaskKey, u32),
-    Hold(u32),
+    /// A worker may forget its ends up to this number.
+    Forget {
+        worker: u32,
+        ends: u64,
+    },
 }
 
 /// Jobs that are not over, at most.
@@ -361,9 +365,10 @@
             let Some((_, staged)) = self.waiting.pop_front() else { break };
             match staged {
                 Staged::Start(task, run) => self.send_start(now, task, run),
-                Staged::Hold(worker) => {
+                Staged::Forget { worker, ends } => {
                     let held = &mut self.workers[worker as usize];
-                    held.last_seen = held.last_seen.max(held.taken);
+                    // Not `taken`: ends that were taken since are in a later batch.
+                    held.last_seen = held.last_seen.max(ends);
                     if held.hold == HoldState::Recording {
                         held.hold = HoldState::Idle;
                         held.hold_at = now.steady;
@@ -384,9 +389,10 @@
         self.staged.push(Staged::Start(task, run));
     }
 
-    /// Lets a worker forget the ends that were taken once their records last.
-    pub(crate) fn stage_hold(&mut self, worker: u32) {
-        self.staged.push(Staged::Hold(worker));
+    /// Lets a worker forget the ends that were taken so far once their records last.
+    pub(crate) fn stage_forget(&mut self, worker: u32) {
+        let ends = self.workers[worker as usize].taken;
+        self.staged.push(Staged::Forget { worker, ends });
     }
 
     fn send_start(&mut self, now: Now, key: TaskKey, run: u32) {
--- a/crates/jobs/tests/orders.rs
+++ b/crates/jobs/tests/orders.rs
@@ -21,10 +21,19 @@
 
 impl Desk {
     fn new(workers: usize) -> Self {
+        let mut desk = Desk::unanswered(workers, BOUNDS);
+        for call in desk.pass(20) {
+            desk.report(&call, &[], &[]);
+        }
+        desk
+    }
+
+    /// No worker has answered a hold yet.
+    fn unanswered(workers: usize, bounds: Bounds) -> Self {
         let at = Now { steady: 1_000_000, unix: 1_000_000 };
         let holds = Default::default();
         let mut desk =
-            Desk { holds, scheduler: Scheduler::new(BOUNDS, 4, 1, at), now: at.steady, sequence: 0 };
+            Desk { holds, scheduler: Scheduler::new(bounds, 4, 1, at), now: at.steady, sequence: 0 };
         let listed = |i: usize| Listed {
             id: format!("i-{i}").as_str().into(),
             service: "s".into(),
@@ -38,9 +47,6 @@
         };
         let list: Vec<Listed> = (0..workers).map(listed).collect();
         desk.scheduler.listed(at, &list);
-        for call in desk.pass(20) {
-            desk.report(&call, &[], &[]);
-        }
         desk
     }
 
@@ -117,6 +123,7 @@
     calls.iter().find(|call| *call.worker == *worker && matches!(call.order, Order::Hold { .. }))
 }
 
+const SMALL: &str = r#"{"spec":"x","stages":[{"count":1,"cpu":300,"memMb":10,"estRuntimeMs":500}]}"#;
 const ONE: &str = r#"{"spec":"x","stages":[{"count":1,"cpu":600,"memMb":10,"estRuntimeMs":500}]}"#;
 
 #[test]
@@ -183,6 +190,51 @@
     assert_eq!(desk.scheduler.state(1), Some(State::Closed(Outcome::Succeeded)));
 }
 
+/// Ends taken while the records of earlier ones are on their way are in a later batch, which may still be lost.
+#[test]
+fn an_end_taken_after_a_batch_is_not_forgotten_with_it() {
+    let mut desk = Desk::new(1);
+    desk.submit(1, SMALL);
+    desk.submit(2, SMALL);
+    let calls = desk.write(true);
+    let ordered: Vec<Call> = starts(&calls).into_iter().cloned().collect();
+    assert_eq!(ordered.len(), 2);
+    for start in &ordered {
+        desk.answer(start, Reply::Done { clock_ms: desk.now - 900_000 });
+    }
+    let [first, second] = [1, 2].map(|job| TaskKey { job, occurrence: 0, stage: 0, index: 0 });
+    let hold = desk.hold_out("i-0");
+    desk.report(&hold, &[(second, 1)], &[(1, first, 1, "done")]);
+    desk.write(false);
+    let earlier = desk.sequence;
+    // Another answer, as after a stop, brings the second end before the first one's record lasts.
+    desk.report(&hold, &[], &[(1, first, 1, "done"), (2, second, 1, "done")]);
+    desk.write(false);
+    assert!(desk.sequence > earlier, "the second end is in a batch of its own");
+    desk.scheduler.committed(desk.at(), earlier);
+    desk.now += 20;
+    desk.scheduler.tick(desk.at());
+    let calls: Vec<Call> = desk.scheduler.drain().into_iter().map(|Effect::Call(call)| call).collect();
+    let hold = hold_of(&calls, "i-0").expect("a hold goes out");
+    assert!(matches!(hold.order, Order::Hold { last_seen: 1, .. }), "{hold:?}");
+}
+
+/// While calls are at their bound, the next look begins with the first worker that found no room.
+#[test]
+fn workers_are_asked_in_turn_while_calls_are_at_their_bound() {
+    const WORKERS: usize = 200;
+    let mut desk = Desk::unanswered(WORKERS, Bounds { max_calls: 100, ..BOUNDS });
+    let mut asked: std::collections::BTreeSet<String> = Default::default();
+    for _ in 0..4 {
+        // Those that turn the hold away are due again by the next round.
+        for call in desk.pass(400) {
+            asked.insert(call.worker.to_string());
+            desk.answer(&call, Reply::Refused { status: 503, reason: "".into() });
+        }
+    }
+    assert_eq!(asked.len(), WORKERS);
+}
+
 #[test]
 fn the_ends_of_a_gang_count_one_time_once() {
     let mut desk = Desk::new(2);
