Judge starts by observed round trips, look before stopping, and begin only what the scheduler keeps up with

Cause: a start without an answer cost 300 ms, then a stop, another 300 ms where the stop was lost, and a new start, where answers come within 2 to 4 ms. A worker that hears and is not heard (a cut in one direction) was allowed more with each look, so what ran there never lapsed. Change: - deadlines.rs: mean and deviation of round trips by zone; 60 to 300 ms; longer after answers that came too late, the longest if a quarter of the starts is given up. The call goes on meanwhile, so a late answer still counts. - a start that is given up is looked for first, and stopped only if the worker does not list it; stops back off. - copies.rs: where the step is `speculative`, a task whose runs are in doubt starts elsewhere at once. - throttle.rs: fewer starts between two ticks when ticks come late; at most 160 starts on their way, the rest waits in its order. - a worker that is not heard is allowed nothing more. - `pending` counts jobs of which no task is known to have begun; recovery names what it can't read. - events are logged at trace, starts without an answer and workers out of reach at debug.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -15,19 +15,25 @@
 /// How long the records of ends may take before the hold goes out without them, milliseconds.
 const RECORD_MS: u64 = 1_000;
 /// Calls in a row that may go unanswered before a worker counts as out of reach.
-const MISSES: u32 = 2;
+const MISSES: u32 = 3;
 
 impl Scheduler {
     /// Takes what came of a call.
     pub fn answered(&mut self, now: Now, worker: &str, order: &Order, reply: Reply) {
         self.calls_out = self.calls_out.saturating_sub(1);
+        if matches!(order, Order::Start { .. }) {
+            self.starts_out = self.starts_out.saturating_sub(1);
+        }
         let Some(at) = self.index.get(worker).copied() else { return };
         if self.workers[at as usize].standing == Standing::Gone {
             return;
         }
         match &reply {
             Reply::Misdirected => return self.lose_worker(now, at),
-            Reply::Silence => self.missed(now, at),
+            Reply::Silence => match order {
+                Order::Start { task, run, .. } => self.give_up_start(now, at, *task, *run),
+                _ => self.missed(now, at),
+            },
             Reply::Done { clock_ms } => self.heard(now, at, *clock_ms),
             Reply::Report(report) => self.heard(now, at, report.clock_ms),
             Reply::Refused { .. } => {}
@@ -53,25 +59,67 @@
         let worker = &mut self.workers[at as usize];
         worker.misses += 1;
         if worker.misses >= MISSES {
+            if worker.reachable {
+                log::debug!("worker {} is out of reach", worker.id);
+            }
             worker.reachable = false;
+            self.copy_all_elsewhere(now.steady, at);
         } else {
             // Nothing is started there until it is heard of again.
             self.look(now.steady, at);
         }
     }
 
+    /// A start has no answer in time. A later call shows whether it was carried out; only if not, it is stopped.
+    fn give_up_start(&mut self, now: Now, at: u32, key: TaskKey, run: u32) {
+        let serial = self.serial;
+        let Some(held) = self.run_mut(key, run).filter(|r| r.worker == at) else { return };
+        if held.phase != Phase::Ordered {
+            return;
+        }
+        held.phase = Phase::Unknown;
+        held.given_up = Some(serial);
+        log::debug!("start {key} run {run} has no answer from {}", self.workers[at as usize].id);
+        self.deadlines.given_up();
+        self.figures.given_up += 1;
+        self.copy_elsewhere(now.steady, key);
+        self.missed(now, at);
+    }
+
+    /// Gives up starts whose deadline is over. Their calls go on: an answer that still comes tells how long they took.
+    pub(crate) fn give_up_starts(&mut self, now: Now) {
+        while let Some((due, key, run)) = self.unanswered.first().copied() {
+            if now.steady < due {
+                return;
+            }
+            self.unanswered.pop_first();
+            if let Some(at) = self.run(key, run).map(|held| held.worker) {
+                self.give_up_start(now, at, key, run);
+            }
+        }
+    }
+
     fn start_answered(&mut self, now: Now, at: u32, key: TaskKey, run: u32, reply: &Reply) {
         self.serial += 1;
         let serial = self.serial;
         let Some(held) = self.run_mut(key, run).filter(|r| r.worker == at) else { return };
         match reply {
             Reply::Done { .. } => {
+                let took_ms = now.steady.saturating_sub(held.ordered_at);
+                self.deadlines.answered(&self.workers[at as usize].zone, took_ms);
+                let Some(held) = self.run_mut(key, run) else { return };
+                if held.given_up.take().is_some() {
+                    self.deadlines.premature();
+                    self.figures.premature += 1;
+                }
+                let Some(held) = self.run_mut(key, run) else { return };
                 if held.phase != Phase::Started {
                     held.phase = Phase::Started;
                     held.started_at = now.steady;
                     held.progress_at = now.steady;
                 }
                 held.settled.get_or_insert(serial);
+                self.note_begun(key.job);
             }
             Reply::Refused { status, reason } => {
                 log::debug!("start {key} run {run} refused: {status} {reason}");
@@ -84,12 +132,8 @@
                 worker.avoided_until = worker.avoided_until.max(now.steady + pause);
                 self.end_run(now, key, run, End::Void, "");
             }
-            _ => {
-                if held.phase == Phase::Ordered {
-                    held.phase = Phase::Unknown;
-                }
-                self.stop_run(now.steady, key, run);
-            }
+            // Given up already.
+            _ => {}
         }
     }
 
@@ -122,6 +166,7 @@
                 self.graphs.settle(&self.workers, &[at]);
             }
         }
+        self.judge_given_up(now.steady, at, serial, report);
         self.take_ends(now, at, report);
         self.take_running(now, at, report);
         self.find_vanished(now, at, serial, first, report);
@@ -136,6 +181,26 @@
         }
     }
 
+    /// Starts that were given up: those that the worker lists were carried out, the others must not be any more.
+    fn judge_given_up(&mut self, now: u64, at: u32, serial: u64, report: &WorkerReport) {
+        let runs: Vec<_> = self.workers[at as usize].runs.iter().copied().collect();
+        for (key, run) in runs {
+            let Some(held) = self.run_mut(key, run) else { continue };
+            if held.given_up.is_none_or(|given_up| given_up >= serial) {
+                continue;
+            }
+            held.given_up = None;
+            let listed = report.running.iter().any(|r| (r.task, r.run) == (key, run));
+            if listed || report.finished.iter().any(|r| (r.task, r.run) == (key, run)) {
+                if let Some(held) = self.run_mut(key, run) {
+                    held.settled.get_or_insert(serial);
+                }
+            } else {
+                self.stop_run(now, key, run);
+            }
+        }
+    }
+
     fn take_ends(&mut self, now: Now, at: u32, report: &WorkerReport) {
         for ended in &report.finished {
             let worker = &mut self.workers[at as usize];
@@ -179,6 +244,7 @@
                 held.percent = running.percent;
                 held.progress_at = now.steady;
             }
+            self.note_begun(running.task.job);
             self.judge_pace(now.steady, running.task, running.run, false);
         }
     }
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -8,6 +8,7 @@
 use crate::worker::Resources;
 use compact_str::CompactString;
 use std::collections::VecDeque;
+use std::fmt;
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +29,20 @@
     Forgotten { job: u64 },
 }
 
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Event::Accepted { job, record } => {
+                write!(f, "accepted {job:016x} of {}{}", record.queue.host, record.queue.prefix)
+            }
+            Event::Closed { job, outcome, .. } => write!(f, "closed {job:016x} {outcome:?}"),
+            Event::Ordered { task, run, worker } => write!(f, "ordered {task} run {run} on worker {worker}"),
+            Event::Ended { task, run, end, .. } => write!(f, "ended {task} run {run} {end:?}"),
+            Event::Forgotten { job } => write!(f, "forgotten {job:016x}"),
+        }
+    }
+}
+
 /// The last events, for those who look into a running process.
 #[derive(Debug, Default)]
 pub(crate) struct Journal {
@@ -56,6 +71,7 @@
 impl Scheduler {
     /// Appends an event and folds it into the views.
     pub(crate) fn record(&mut self, now: u64, event: Event) {
+        log::trace!("{event}");
         self.fold(now, &event);
         self.journal.append(event);
     }
@@ -63,8 +79,8 @@
     fn fold(&mut self, now: u64, event: &Event) {
         match event {
             Event::Accepted { job, record } => {
-                *self.pending.entry(record.queue.clone()).or_default() += 1;
                 self.jobs.insert(*job, Job::new((**record).clone()));
+                self.count_live(*job);
                 self.touched.insert(Key::Job(*job));
             }
             Event::Closed { job, outcome, at } => self.fold_closed(*job, *outcome, *at),
@@ -79,11 +95,10 @@
     }
 
     fn fold_closed(&mut self, id: u64, outcome: Outcome, at: u64) {
+        self.note_begun(id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.closed = Some((outcome, at));
-        if let Some(count) = self.pending.get_mut(&job.record.queue) {
-            *count = count.saturating_sub(1);
-        }
+        self.live = self.live.saturating_sub(1);
         self.touched.insert(Key::Closed(id));
         for (occurrence, steps) in &job.occurrences {
             for (stage, step) in steps.stages.iter().enumerate() {
@@ -96,6 +111,24 @@
         }
     }
 
+    /// Counts a job that is not over, which has no task that is known to have begun unless it says so.
+    pub(crate) fn count_live(&mut self, id: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        self.live += 1;
+        if !job.begun {
+            *self.pending.entry(job.record.queue.clone()).or_default() += 1;
+        }
+    }
+
+    /// A task of a job has begun, or none ever will.
+    pub(crate) fn note_begun(&mut self, id: u64) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.begun) else { return };
+        job.begun = true;
+        if let Some(count) = self.pending.get_mut(&job.record.queue) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     fn fold_ordered(&mut self, now: u64, key: TaskKey, run: u32, worker: u32) {
         let need = self.need(key);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
@@ -126,6 +159,9 @@
             self.free(ended.worker, key, run, need);
         }
         self.touched.insert(Key::Task(key));
+        if end != End::Void {
+            self.note_begun(key.job);
+        }
         match end {
             End::Done if lasts => {}
             End::Done if gang => self.fold_gang_done(key),
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -78,14 +78,17 @@
     /// Asks a worker what runs there without waiting.
     pub(crate) fn look(&mut self, now: u64, at: u32) {
         let order = self.hold_order(now, at, 0);
-        self.call(at, order, HOLD_TIMEOUT_MS);
+        let timeout_ms = self.deadline(at);
+        self.call(at, order, timeout_ms);
     }
 
     fn hold_order(&mut self, now: u64, at: u32, wait_ms: u64) -> Order {
         self.serial += 1;
         let hold_ms = self.bounds.max_hold_ms.min(HOLD_MS);
         let worker = &mut self.workers[at as usize];
-        let until_ms = worker.clock.allow(now, hold_ms);
+        // A worker that is not heard is allowed nothing more: what runs there could go on for as long as it is asked.
+        let heard = worker.reachable && worker.misses == 0;
+        let until_ms = if heard { worker.clock.allow(now, hold_ms) } else { None };
         Order::Hold { serial: self.serial, until_ms, last_seen: worker.last_seen, wait_ms }
     }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -48,6 +48,8 @@
     pub phase: Phase,
     /// An answer to a hold with a higher serial shows whether it is there.
     pub settled: Option<u64>,
+    /// The start was given up: an answer to a hold with a higher serial shows whether it was carried out.
+    pub given_up: Option<u64>,
     pub ordered_at: u64,
     /// Progress as last told, when it last rose, and since when it is watched: our time.
     pub percent: f64,
@@ -58,8 +60,12 @@
     pub saved: CompactString,
     /// Whether it has been counted for its worker's pace.
     pub judged: bool,
+    /// Whether it takes far longer where it is than it would elsewhere.
+    pub slow: bool,
     pub stopping: bool,
     pub stop_sent_at: u64,
+    /// How often it was told to stop without an answer.
+    pub stop_tries: u32,
 }
 
 impl Run {
@@ -70,6 +76,7 @@
             worker,
             phase,
             settled: None,
+            given_up: None,
             ordered_at: now,
             percent: 0.0,
             progress_at: now,
@@ -77,8 +84,10 @@
             told_at: now,
             saved: CompactString::default(),
             judged: false,
+            slow: false,
             stopping: false,
             stop_sent_at: 0,
+            stop_tries: 0,
         }
     }
 }
@@ -143,6 +152,8 @@
     pub next_occurrence: u32,
     /// Whether anything was ever started.
     pub touched: bool,
+    /// Whether a worker is known to have begun a task of it.
+    pub begun: bool,
     /// Our time when it was first found to be impossible.
     pub impossible_since: Option<u64>,
 }
@@ -157,6 +168,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             touched: false,
+            begun: false,
             impossible_since: None,
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,6 +12,8 @@
 //! - **Fencing**: every call carries the term; a worker that has seen a later one does nothing for it.
 mod answers;
 mod clock;
+mod copies;
+mod deadlines;
 mod effect;
 mod events;
 mod holds;
@@ -27,6 +29,7 @@
 mod scheduler;
 mod spec;
 mod stops;
+mod throttle;
 mod watch;
 mod worker;
 
@@ -35,5 +38,5 @@
 pub use job::{Outcome, State};
 pub use record::{Queue, TaskKey};
 pub use recover::is_readable;
-pub use scheduler::{Admission, Bounds, Now, Scheduler, Terms, Write};
+pub use scheduler::{Admission, Bounds, Figures, Now, Scheduler, Terms, Write};
 pub use spec::{JobSpec, SpecError, Stage};
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -121,10 +121,9 @@
         if !std::mem::take(&mut self.room_changed) || self.ready.is_empty() {
             return;
         }
-        self.panicking = self.services_mostly_avoided(now.steady);
         let mut misses = Misses::default();
         let units: Vec<(ReadyKey, u64)> = self.ready.iter().map(|(key, since)| (*key, *since)).collect();
-        let mut room = self.bounds.max_calls.saturating_sub(self.calls_out);
+        let mut room = self.bounds.max_calls.saturating_sub(self.calls_out).min(self.starts_left());
         for (unit, since) in units {
             if misses.count > MAX_MISSES {
                 break;
@@ -136,9 +135,15 @@
             }
             let key = unit.2;
             let Some(job) = self.jobs.get(&key.job) else { continue };
-            let service = job.service.clone();
-            let Some(stage) = self.stage(key).cloned() else { continue };
-            if !stage.gang && misses.cover(&service, &stage) {
+            let Some(stage) = self.stage(key) else { continue };
+            if !stage.gang && misses.cover(&job.service, stage) {
+                continue;
+            }
+            let (service, stage) = (job.service.clone(), stage.clone());
+            let runs = self.task(key).is_some_and(|task| !task.active.is_empty());
+            if !stage.gang && runs && !self.wants_copy(key) {
+                // A copy was wanted while its run was in doubt, which it is no more.
+                self.ready.remove(&unit);
                 continue;
             }
             let waited = now.steady.saturating_sub(since);
@@ -148,7 +153,9 @@
                 self.place_task(now, key, &stage, &service, waited)
             };
             if placed {
-                room = room.saturating_sub(if stage.gang { stage.count as usize } else { 1 });
+                let starts = if stage.gang { stage.count as usize } else { 1 };
+                room = room.saturating_sub(starts);
+                self.throttle.take(starts);
                 self.ready.remove(&unit);
             } else {
                 misses.add(&service, &stage);
@@ -157,7 +164,7 @@
     }
 
     /// Services of whose workers most are left alone: then that says nothing any more.
-    fn services_mostly_avoided(&self, now: u64) -> FxHashSet<CompactString> {
+    pub(crate) fn services_mostly_avoided(&self, now: u64) -> FxHashSet<CompactString> {
         let mut counts: FxHashMap<&CompactString, (usize, usize)> = FxHashMap::default();
         for worker in self.workers.iter().filter(|w| w.takes()) {
             let (all, avoided) = counts.entry(&worker.service).or_default();
@@ -176,7 +183,9 @@
         waited: u64,
     ) -> bool {
         let Some(worker) = self.choose(now, key, stage, service, waited, None) else { return false };
-        let run = self.task(key).map_or(1, |task| task.last_run + 1);
+        let (run, copy) =
+            self.task(key).map_or((1, false), |task| (task.last_run + 1, !task.active.is_empty()));
+        self.figures.copies += u64::from(copy);
         self.order(now, key, run, worker);
         true
     }
@@ -198,6 +207,9 @@
         if !Resources::of(stage).fits(worker.room()) {
             return false;
         }
+        if self.task(key).is_some_and(|task| task.active.iter().any(|run| run.worker == at)) {
+            return false;
+        }
         if strict && self.task(key).is_some_and(|task| task.avoid.contains(&at)) {
             return false;
         }
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -17,20 +17,31 @@
 }
 
 impl Scheduler {
-    /// Takes over all records, which must be readable (see [`is_readable`]). What was running counts as running until the workers are heard.
-    pub fn recover<'a>(&mut self, now: Now, entries: impl Iterator<Item = (&'a [u8], &'a [u8])>) {
+    /// Takes over all records, and tells the keys of those that it can't read: with one of them it must not be used. What
+    /// was running counts as running until the workers are heard.
+    pub fn recover<'a>(
+        &mut self,
+        now: Now,
+        entries: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+    ) -> Vec<Vec<u8>> {
         let mut closed = Vec::new();
         let mut tasks = Vec::new();
+        let mut unreadable = Vec::new();
         for (key, value) in entries {
             match Key::decode(key) {
-                Some(Key::Job(id)) => {
-                    if let Some(record) = JobRecord::decode(value) {
-                        self.jobs.insert(id, Job::new(record));
-                    }
-                }
-                Some(Key::Closed(id)) => closed.extend(ClosedRecord::decode(value).map(|c| (id, c))),
-                Some(Key::Task(key)) => tasks.extend(TaskRecord::decode(value).map(|t| (key, t))),
-                None => {}
+                Some(Key::Job(id)) => match JobRecord::decode(value) {
+                    Some(record) => drop(self.jobs.insert(id, Job::new(record))),
+                    None => unreadable.push(key.to_vec()),
+                },
+                Some(Key::Closed(id)) => match ClosedRecord::decode(value) {
+                    Some(record) => closed.push((id, record)),
+                    None => unreadable.push(key.to_vec()),
+                },
+                Some(Key::Task(task)) => match TaskRecord::decode(value) {
+                    Some(record) => tasks.push((task, record)),
+                    None => unreadable.push(key.to_vec()),
+                },
+                None => unreadable.push(key.to_vec()),
             }
         }
         for (id, record) in closed {
@@ -46,12 +57,14 @@
         for id in ids {
             self.resume(now, id);
         }
+        unreadable
     }
 
     fn restore_task(&mut self, now: Now, key: TaskKey, record: TaskRecord) {
         let need = self.need(key);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         job.touched = true;
+        job.begun |= record.done || !record.failed.is_empty() || !record.saved.is_empty();
         let Some(step) = job.occurrence(key.occurrence).stages.get_mut(usize::from(key.stage)) else {
             return;
         };
@@ -88,14 +101,13 @@
             self.stop_all(now.steady, id);
             return;
         }
-        let queue = job.record.queue.clone();
         let begun = job.occurrences.keys().next_back().map_or(0, |last| last + 1);
         job.next_occurrence = begun;
         for number in 0..begun {
             job.occurrence(number);
         }
         let finished = job.occurrences.values().filter(|o| o.done()).count() as u32;
-        *self.pending.entry(queue).or_default() += 1;
+        self.count_live(id);
         for number in 0..begun {
             self.open_stages(now, id, number);
         }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -27,6 +27,7 @@
         let Some(task) = self.task(key) else { return };
         let (done, idle) = (task.done, task.active.is_empty());
         if done {
+            self.forget_ready(key);
             self.stop_task(now.steady, key);
             if end == End::Done {
                 self.after_done(now, key);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -1,4 +1,5 @@
 //! The scheduler: what clients ask for, what time brings, and what must be written before it is seen.
+use crate::deadlines::{self, Deadlines};
 use crate::effect::{Call, Effect, Order};
 use crate::events::{Event, Journal};
 use crate::job::{Job, Outcome, Phase, State};
@@ -6,6 +7,7 @@
 use crate::placement::Graphs;
 use crate::record::{JobRecord, Key, Queue, TaskKey};
 use crate::spec::JobSpec;
+use crate::throttle::Throttle;
 use crate::worker::{HoldState, Worker};
 use compact_str::CompactString;
 use rand_core::SeedableRng;
@@ -64,6 +66,25 @@
     Full,
 }
 
+/// Counts of a term so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Starts that were ordered.
+    pub starts: u64,
+    /// Starts that were given up without an answer, and those of them that had been carried out in time.
+    pub given_up: u64,
+    /// See `given_up`.
+    pub premature: u64,
+    /// Runs that were stopped.
+    pub stops: u64,
+    /// Starts beside a run that was in doubt.
+    pub copies: u64,
+    /// Starts that may go out between two ticks now.
+    pub starts_at_a_time: u64,
+    /// The shortest and the longest deadline of calls now, milliseconds; `None` before the first answer.
+    pub deadlines_ms: Option<(u64, u64)>,
+}
+
 /// Changes of the key space: keys with their new values.
 pub type Write = Vec<(Vec<u8>, Option<Vec<u8>>)>;
 
@@ -83,8 +104,8 @@
 
 /// Jobs that are not over, at most.
 const MAX_LIVE: usize = 30_000;
-/// How long a start may go unanswered, milliseconds.
-const START_TIMEOUT_MS: u64 = 300;
+/// Starts that may be on their way at once, at most.
+const MOST_STARTS_OUT: usize = 160;
 /// How far ahead of the worker's clock a start may be carried out, milliseconds.
 const START_AHEAD_MS: u64 = 1_500;
 
@@ -95,6 +116,9 @@
     pub(crate) fence: u64,
     pub(crate) term_began: u64,
     pub(crate) jobs: FxHashMap<u64, Job>,
+    /// Jobs that are not over.
+    pub(crate) live: usize,
+    /// Of those, by queue, the ones of which no task is known to have begun.
     pub(crate) pending: FxHashMap<Queue, u64>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) index: FxHashMap<Arc<str>, u32>,
@@ -115,6 +139,13 @@
     pub(crate) stopping: BTreeSet<(TaskKey, u32)>,
     pub(crate) touched: BTreeSet<Key>,
     pub(crate) unix: u64,
+    pub(crate) deadlines: Deadlines,
+    pub(crate) figures: Figures,
+    pub(crate) throttle: Throttle,
+    /// Starts whose calls have no answer yet.
+    pub(crate) starts_out: usize,
+    /// Starts that were ordered, with the time at which they are given up unless an answer has come.
+    pub(crate) unanswered: BTreeSet<(u64, TaskKey, u32)>,
     /// Calls to workers that have no answer yet.
     pub(crate) calls_out: usize,
     /// How long after a hold a worker where nothing runs is asked again.
@@ -138,6 +169,7 @@
             fence,
             term_began: now.steady,
             jobs: FxHashMap::default(),
+            live: 0,
             pending: FxHashMap::default(),
             workers: Vec::new(),
             index: FxHashMap::default(),
@@ -155,6 +187,11 @@
             stopping: BTreeSet::new(),
             touched: BTreeSet::new(),
             unix: now.unix,
+            deadlines: Deadlines::default(),
+            figures: Figures::default(),
+            throttle: Throttle::default(),
+            starts_out: 0,
+            unanswered: BTreeSet::new(),
             calls_out: 0,
             idle_pause_ms: 0,
             holds_looked_at: 0,
@@ -174,7 +211,7 @@
         if self.jobs.contains_key(&id) {
             return Admission::Accepted;
         }
-        if self.pending.values().sum::<u64>() as usize >= MAX_LIVE {
+        if self.live >= MAX_LIVE {
             return Admission::Full;
         }
         let record = JobRecord {
@@ -207,7 +244,7 @@
         true
     }
 
-    /// How many jobs of a queue are not over.
+    /// How many jobs of a queue are accepted of which no task is known to have begun.
     #[must_use]
     pub fn pending(&self, queue: &Queue) -> u64 {
         self.pending.get(queue).copied().unwrap_or(0)
@@ -220,14 +257,29 @@
         (self.jobs.len(), self.ready.len(), runs, self.journal.count())
     }
 
+    /// Counts of this term so far.
+    #[must_use]
+    pub fn figures(&self) -> Figures {
+        let starts_at_a_time = self.throttle.allowed() as u64;
+        Figures { deadlines_ms: self.deadlines.range(), starts_at_a_time, ..self.figures }
+    }
+
     // Time.
 
+    /// The next tick comes so much later than it should, milliseconds: a scheduler that is behind begins less at a time.
+    pub fn note_lateness(&mut self, late_ms: u64) {
+        self.throttle.adjust(late_ms);
+    }
+
     /// Does what the time asks for.
     pub fn tick(&mut self, now: Now) {
         self.unix = now.unix;
+        self.throttle.refill();
+        self.give_up_starts(now);
         self.begin_times(now);
         self.expire_workers(now);
         self.room_changed |= std::mem::take(&mut self.place_again);
+        self.panicking = self.services_mostly_avoided(now.steady);
         self.place_ready(now);
         self.resend_stops(now.steady);
         self.send_holds(now.steady);
@@ -315,6 +367,13 @@
         self.room_changed = true;
     }
 
+    /// Takes a task out of what waits: it is done, or runs after all.
+    pub(crate) fn forget_ready(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let order = job.record.spec.due(key.occurrence).max(job.record.accepted_at);
+        self.ready.remove(&(job.record.priority, order, key));
+    }
+
     /// Ends a job: nothing of it starts any more, and what runs is stopped.
     pub(crate) fn close(&mut self, now: Now, id: u64, outcome: Outcome) {
         self.record(now.steady, Event::Closed { job: id, outcome, at: now.unix });
@@ -384,6 +443,13 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Starts that may still be decided: those on their way, to the disk or to workers, are bounded, so that what waits does
+    /// so in its order here.
+    pub(crate) fn starts_left(&self) -> usize {
+        let under_way = self.staged.len() + self.waiting.len() + self.starts_out;
+        MOST_STARTS_OUT.saturating_sub(under_way).min(self.throttle.left())
+    }
+
     /// Starts a recorded run once its record lasts.
     pub(crate) fn stage_start(&mut self, task: TaskKey, run: u32) {
         self.staged.push(Staged::Start(task, run));
@@ -411,7 +477,10 @@
             return self.end_run(now, key, run, crate::events::End::Void, "");
         };
         let order = Order::Start { task: key, run, spec: text, until_ms, checkpointed };
-        self.call(worker, order, START_TIMEOUT_MS);
+        let due = now.steady + self.deadline(worker);
+        self.unanswered.insert((due, key, run));
+        self.figures.starts += 1;
+        self.call(worker, order, deadlines::MOST_MS);
         self.hold_soon(now.steady, worker);
     }
 
@@ -425,6 +494,11 @@
         self.task(source).map(|task| task.saved.clone()).unwrap_or_default()
     }
 
+    /// How long a worker may take to answer a call that it need not wait for, milliseconds.
+    pub(crate) fn deadline(&self, worker: u32) -> u64 {
+        self.deadlines.of(&self.workers[worker as usize].zone)
+    }
+
     /// A call to a worker.
     pub(crate) fn call(&mut self, worker: u32, order: Order, timeout_ms: u64) {
         let target = &self.workers[worker as usize];
@@ -433,6 +507,7 @@
         }
         let (worker, address) = (target.id.clone(), target.address.clone());
         self.calls_out += 1;
+        self.starts_out += usize::from(matches!(order, Order::Start { .. }));
         self.effects.push(Effect::Call(Call { worker, address, order, timeout_ms, fence: self.fence }));
     }
 }
--- a/crates/jobs/src/stops.rs
+++ b/crates/jobs/src/stops.rs
@@ -1,11 +1,12 @@
 //! Runs that must end.
+use crate::deadlines;
 use crate::effect::Order;
 use crate::job::Phase;
 use crate::record::TaskKey;
 use crate::scheduler::Scheduler;
 
-/// How long a stop may go unanswered before it is sent again, milliseconds.
-const STOP_AGAIN_MS: u64 = 300;
+/// How often at most the time between two stops of a run is doubled.
+const MOST_STOP_DOUBLINGS: u32 = 4;
 
 impl Scheduler {
     /// Stops all that runs of a job.
@@ -41,30 +42,36 @@
             return;
         }
         held.stopping = true;
+        self.figures.stops += 1;
+        let Some(held) = self.run_mut(key, run) else { return };
         if held.phase == Phase::Recorded {
             return;
         }
         held.stop_sent_at = now;
         let worker = held.worker;
         self.stopping.insert((key, run));
-        self.call(worker, Order::Stop { task: key, run }, STOP_AGAIN_MS);
+        self.call(worker, Order::Stop { task: key, run }, deadlines::MOST_MS);
     }
 
     /// Says it again to workers that did not answer.
     pub(crate) fn resend_stops(&mut self, now: u64) {
         let wanted: Vec<_> = self.stopping.iter().copied().collect();
         for (key, run) in wanted {
-            let Some(held) = self.run_mut(key, run) else {
+            let Some(held) = self.run(key, run) else {
                 self.stopping.remove(&(key, run));
                 continue;
             };
-            if now < held.stop_sent_at + STOP_AGAIN_MS {
+            let (worker, sent_at, tries) = (held.worker, held.stop_sent_at, held.stop_tries);
+            let timeout_ms = self.deadline(worker);
+            if now < sent_at + (timeout_ms << tries) {
                 continue;
             }
-            held.stop_sent_at = now;
-            let worker = held.worker;
+            if let Some(held) = self.run_mut(key, run) {
+                held.stop_sent_at = now;
+                held.stop_tries = (tries + 1).min(MOST_STOP_DOUBLINGS);
+            }
             if self.workers[worker as usize].reachable {
-                self.call(worker, Order::Stop { task: key, run }, STOP_AGAIN_MS);
+                self.call(worker, Order::Stop { task: key, run }, deadlines::MOST_MS);
             }
         }
     }
--- a/crates/jobs/src/watch.rs
+++ b/crates/jobs/src/watch.rs
@@ -36,19 +36,27 @@
                 if held.phase != Phase::Started || held.stopping || stage.long_running {
                     continue;
                 }
-                if self.stands(now.steady, held, stage) || self.crawls(*key, held, stage, worker) {
-                    moved.push((*key, *run, at));
+                let stands = self.stands(now.steady, held, stage);
+                if stands || !held.slow && self.crawls(*key, held, stage, worker) {
+                    moved.push((*key, *run, at, stands));
                 }
             }
         }
-        for (key, run, at) in moved {
+        for (key, run, at, stands) in moved {
             log::debug!("run {key} {run} gets nowhere on {}", self.workers[at].id);
             let worker = &mut self.workers[at];
             worker.avoided_until = now.steady + STILL_AVOIDED_MS;
             if let Some(task) = self.task_mut(key) {
                 task.avoid.push(at as u32);
             }
-            self.stop_run(now.steady, key, run);
+            if let Some(held) = self.run_mut(key, run) {
+                held.slow = true;
+            }
+            self.copy_elsewhere(now.steady, key);
+            // A slow run goes on beside its copy; it may still be the first to end.
+            if stands || !self.wants_copy(key) {
+                self.stop_run(now.steady, key, run);
+            }
         }
     }
 
--- a/crates/trial/src/worker.rs
+++ b/crates/trial/src/worker.rs
@@ -234,7 +234,7 @@
         }
         if *last_seen > self.last_seen {
             self.last_seen = *last_seen;
-            rules.noted(&self.id, *last_seen);
+            rules.noted(now, &self.id, *last_seen);
             self.finished.retain(|end| end.number > *last_seen);
         }
         None
