Tell data planes version and limits only, take leases before worker answers, and make lost links anew at once

Cause: each version went whole to every data plane, on the lane of calls and heartbeats, and again between data planes: 70 to 360 KB on links of 2 Mbit/s. A primary behind with worker answers lost its lease in its own queue. Ruled out: commits held up by large configurations (no batch over 100 ms in a storm of six a second; the slow ones follow takeovers); differences against a version and a lane of their own (nothing of the routes is used by data planes, so nothing has to be sent). Change: - `DataPlaneConfiguration`: version and limits, under 200 bytes with 1,400 routes; an item that can't be read is not taken. - inbox.rs: replication before all else; inputs are taken for 20 ms at a time. - a link that was lost connects again at once, for 5 s; a call without an answer probes its connection every 150 ms. - metrics.rs: frames and bytes by kind, commits, starts, deadlines, at the settings' `metrics`. - records are decoded once at a takeover; a call that waits for a connection is counted before it looks for an idle one.

--- a/crates/cluster/src/accept.rs
+++ b/crates/cluster/src/accept.rs
@@ -1,5 +1,5 @@
 //! Connections that other processes make to this one.
-use crate::frame::{Frame, encode};
+use crate::frame::{Frame, encode_to_send};
 use crate::link::{read_frame, write_steadily};
 use crate::listen::listen;
 use async_std::channel::{Receiver, Sender, bounded};
@@ -88,11 +88,11 @@
 
 async fn write(mut stream: TcpStream, queue: Receiver<Frame>) {
     while let Ok(frame) = queue.recv().await {
-        let mut bytes = encode(&frame);
+        let mut bytes = encode_to_send(&frame);
         while bytes.len() < 64 * 1024
             && let Ok(more) = queue.try_recv()
         {
-            bytes.extend(encode(&more));
+            bytes.extend(encode_to_send(&more));
         }
         if write_steadily(&mut stream, &bytes, WRITE).await.is_err() {
             break;
--- a/crates/cluster/src/control/configurations.rs
+++ b/crates/cluster/src/control/configurations.rs
@@ -44,6 +44,19 @@
     }
 }
 
+/// Whether a key belongs to configurations.
+#[must_use]
+pub fn owns(key: &[u8]) -> bool {
+    key == CURRENT || key.first() == Some(&HISTORY)
+}
+
+/// The keys of records of configurations that can't be read.
+#[must_use]
+pub fn unreadable(keyspace: &Keyspace) -> Vec<Vec<u8>> {
+    let damaged = |(key, value): &(&[u8], &[u8])| is_readable(key, value) == Some(false);
+    keyspace.iter().filter(damaged).map(|(key, _)| key.to_vec()).collect()
+}
+
 impl Configurations {
     /// What the key space holds, which must be readable, see `is_readable`.
     #[must_use]
--- a/crates/cluster/src/control/mod.rs
+++ b/crates/cluster/src/control/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! One task owns the [`node::Node`] and feeds it one input at a time; everything else hands it inputs over a channel.
 mod configurations;
+mod inbox;
 mod node;
 mod operator;
 mod status;
 
 pub use configurations::{Configurations, Taken};
+pub use inbox::{Inbox, Inputs, inbox};
 pub use node::unreadable;
 pub use node::{Input, Node, Reply};
 pub use status::Question;
@@ -16,6 +18,7 @@
 use crate::disk::{DiskError, Store, Writer};
 use crate::frame::Frame;
 use crate::link::{LinkEvent, Links};
+use crate::metrics;
 use crate::settings::Settings;
 use crate::time::Clock;
 use crate::workers::WorkerCalls;
@@ -49,7 +52,11 @@
 
 /// How often time passes for the node without an input.
 const TICK: Duration = Duration::from_millis(20);
-/// Inputs that are taken before what follows from them goes out.
+/// How long inputs are taken before what follows from them goes out, milliseconds, and how many of them are taken between
+/// two looks at the clock.
+const SLICE_MS: u64 = 20;
+const LOOK_EVERY: usize = 8;
+/// Inputs that are taken at most before what follows from them goes out.
 const BATCH: usize = 256;
 
 /// Runs a control plane until it is told to end.
@@ -63,10 +70,10 @@
     let store = Store::open(&folder)?;
     let restored = store.restore()?;
     let clock = Clock::start();
-    let (inputs, inbox) = unbounded();
+    let (inputs, inbox) = inbox();
     let written = inputs.clone();
     let writer = Writer::start(store, folder, move |token| {
-        let _ = written.try_send(Input::Written(token));
+        written.put(Input::Written(token));
     });
     let (link_events, link_inbox) = unbounded();
     let links = Links::new(link_events);
@@ -80,12 +87,17 @@
         inputs.clone(),
     );
     on_term(inputs.clone());
+    let endpoint = settings.metrics_endpoint();
     task::block_on(async move {
         let taker = inputs.clone();
         let take = move |frame, answers: &Sender<Frame>| {
-            let _ = taker.try_send(Input::Frame(frame, Some(answers.clone())));
+            taker.put(Input::Frame(frame, Some(answers.clone())));
         };
         task::spawn(accept::serve(settings.peer(), Arc::new(take)));
+        if let Some(endpoint) = endpoint {
+            let inputs = inputs.clone();
+            metrics::start(endpoint, move || operator::figures(inputs.clone()));
+        }
         task::spawn(operator::serve(control, inputs.clone()));
         task::spawn(forward(link_inbox, inputs));
         drive(node, inbox, clock).await;
@@ -94,9 +106,9 @@
 }
 
 /// Tells the node when the process is to end.
-fn on_term(inputs: Sender<Input>) {
+fn on_term(inputs: Inputs) {
     signals(move || {
-        let _ = inputs.try_send(Input::Terminate);
+        inputs.put(Input::Terminate);
     });
 }
 
@@ -117,33 +129,36 @@
     });
 }
 
-async fn forward(events: Receiver<LinkEvent>, inputs: Sender<Input>) {
+async fn forward(events: Receiver<LinkEvent>, inputs: Inputs) {
     while let Ok(event) = events.recv().await {
         let input = match event {
             LinkEvent::Up(_) => continue,
             LinkEvent::Down(address) => Input::PeerDown(address),
             LinkEvent::Frame(_, frame) => Input::Frame(frame, None),
         };
-        if inputs.send(input).await.is_err() {
-            return;
-        }
+        inputs.put(input);
     }
 }
 
-async fn drive(mut node: Node, inbox: Receiver<Input>, clock: Clock) {
-    let mut ticked = 0;
+async fn drive(mut node: Node, inbox: Inbox, clock: Clock) {
+    let tick_ms = TICK.as_millis() as u64;
+    let mut ticked = clock.steady();
     while !node.ended() {
-        if let Ok(Ok(input)) = timeout(TICK, inbox.recv()).await {
+        if let Ok(Some(input)) = timeout(TICK, inbox.next()).await {
+            let began = clock.steady();
             node.handle(input);
-            for _ in 0..BATCH {
-                let Ok(input) = inbox.try_recv() else { break };
+            for taken in 1..BATCH {
+                if taken.is_multiple_of(LOOK_EVERY) && clock.steady() >= began + SLICE_MS {
+                    break;
+                }
+                let Some(input) = inbox.try_next() else { break };
                 node.handle(input);
             }
         }
         let now = clock.steady();
-        if now >= ticked + TICK.as_millis() as u64 {
+        if now >= ticked + tick_ms {
+            node.tick(now - ticked - tick_ms);
             ticked = now;
-            node.tick();
         }
         node.flush();
     }
--- a/crates/cluster/src/control/node/data_planes.rs
+++ b/crates/cluster/src/control/node/data_planes.rs
@@ -1,7 +1,8 @@
 //! What data planes are told: who serves, the configuration, and which of them to tell and watch.
 use super::Node;
-use crate::frame::{ConfigurationText, Directory, Frame};
+use crate::frame::{Directory, Frame};
 use async_std::channel::Sender;
+use spanlead_configuration::DataPlaneConfiguration;
 use spanlead_dissemination::{PEERS, pick};
 
 impl Node {
@@ -17,12 +18,9 @@
         if self.serving.is_some() && (std::mem::take(&mut self.listeners_changed) || lost) {
             self.introduce();
         }
-        let Some((version, text)) = self.configuration() else { return };
-        if version != self.announced_version {
-            self.announced_version = version;
-            let frame = Frame::Configuration(ConfigurationText { version, text });
-            self.tell_listeners(&frame);
-        }
+        let Some(configuration) = self.configuration(self.announced_version) else { return };
+        self.announced_version = configuration.version;
+        self.tell_listeners(&Frame::Configuration(configuration));
     }
 
     fn tell_listeners(&mut self, frame: &Frame) {
@@ -56,21 +54,22 @@
         }
     }
 
-    /// The configuration that is in force for certain: a primary's own, once it lasts and while the lease holds.
-    fn configuration(&self) -> Option<(u64, String)> {
+    /// What data planes need of the configuration that is in force for certain, if it is newer than `known`: a primary's
+    /// own, once it lasts and while the lease holds.
+    fn configuration(&self, known: u64) -> Option<DataPlaneConfiguration> {
         let serving = self.serving.as_ref()?;
-        self.replica.active(self.clock.steady())?;
-        if self.replica.committed() < serving.sequence
-            && serving.configurations.version() != self.announced_version
-        {
+        let version = serving.configurations.version();
+        let lasts = version == self.announced_version || self.replica.committed() >= serving.sequence;
+        if version <= known || !lasts {
             return None;
         }
-        Some((serving.configurations.version(), serving.configurations.text()?.to_owned()))
+        self.replica.active(self.clock.steady())?;
+        serving.configurations.current().map(DataPlaneConfiguration::from)
     }
 
     pub(super) fn bring_configuration(&self, to: &Sender<Frame>, known: u64) {
-        if let Some((version, text)) = self.configuration().filter(|(version, _)| *version > known) {
-            let _ = to.try_send(Frame::Configuration(ConfigurationText { version, text }));
+        if let Some(configuration) = self.configuration(known) {
+            let _ = to.try_send(Frame::Configuration(configuration));
         }
     }
 }
--- a/crates/cluster/src/control/node/listing.rs
+++ b/crates/cluster/src/control/node/listing.rs
@@ -20,7 +20,7 @@
         let (inputs, address) = (self.inputs.clone(), address.clone());
         task::spawn(async move {
             let list = platform::read(&address).await;
-            let _ = inputs.try_send(Input::Listed(list));
+            inputs.put(Input::Listed(list));
         });
     }
 
--- a/crates/cluster/src/control/node/mod.rs
+++ b/crates/cluster/src/control/node/mod.rs
@@ -3,8 +3,10 @@
 mod data_planes;
 mod listing;
 mod operators;
+mod timing;
 
 use crate::control::configurations::{self, Configurations};
+use crate::control::inbox::Inputs;
 use crate::control::status::Question;
 use crate::disk::Writer;
 use crate::frame::{ClientReply, Directory, Frame};
@@ -21,6 +23,7 @@
 };
 use std::collections::VecDeque;
 use std::sync::Arc;
+pub(in crate::control) use timing::CommitTimes;
 
 /// How long a lease lasts, milliseconds.
 const LEASE_MS: u64 = 500;
@@ -100,6 +103,7 @@
     scheduler: Scheduler,
     configurations: Configurations,
     sequence: u64,
+    commits: CommitTimes,
     /// Answers whose batch has not been made yet, and those that wait for their batch to last.
     decided: Vec<Waiting>,
     waiting: VecDeque<(u64, Waiting)>,
@@ -124,7 +128,7 @@
     links: Links,
     writer: Writer,
     workers: WorkerCalls,
-    inputs: Sender<Input>,
+    inputs: Inputs,
     serving: Option<Serving>,
     /// Data planes that are connected here.
     listeners: Vec<Listener>,
@@ -147,7 +151,7 @@
         links: Links,
         writer: Writer,
         workers: WorkerCalls,
-        inputs: Sender<Input>,
+        inputs: Inputs,
     ) -> Self {
         let options = Options {
             node: settings.node.clone(),
@@ -220,11 +224,12 @@
         }
     }
 
-    /// Lets time pass.
-    pub fn tick(&mut self) {
+    /// Lets time pass, `late_ms` later than it should.
+    pub fn tick(&mut self, late_ms: u64) {
         self.replicate(replication::Input::Tick);
         let now = self.clock.now();
         if let Some(serving) = &mut self.serving {
+            serving.scheduler.note_lateness(late_ms);
             serving.scheduler.tick(now);
         }
         self.ask_for_list(now.steady);
@@ -315,20 +320,23 @@
 
     fn activate(&mut self, term: u64) {
         let now = self.clock.now();
-        let unreadable = unreadable(self.replica.keyspace());
+        let keyspace = self.replica.keyspace();
+        let mut scheduler = Scheduler::new(self.bounds, term, self.clock.random("scheduler"), now);
+        let mut unreadable = configurations::unreadable(keyspace);
+        let of_jobs = keyspace.iter().filter(|(key, _)| !configurations::owns(key));
+        unreadable.extend(scheduler.recover(now, of_jobs));
         if !unreadable.is_empty() {
             log_unreadable(&unreadable);
             self.replica.withhold(now.steady);
             return;
         }
-        log::info!("serving term {term} with {} keys", self.replica.keyspace().len());
-        let mut scheduler = Scheduler::new(self.bounds, term, self.clock.random("scheduler"), now);
-        scheduler.recover(now, self.replica.keyspace().iter());
+        log::info!("serving term {term} with {} keys", keyspace.len());
         self.serving = Some(Serving {
             term,
             scheduler,
             configurations: Configurations::load(self.replica.keyspace()),
             sequence: self.replica.position().sequence,
+            commits: CommitTimes::default(),
             decided: Vec::new(),
             waiting: VecDeque::new(),
             list_at: 0,
@@ -358,6 +366,7 @@
     fn committed(&mut self, sequence: u64) {
         let now = self.clock.now();
         let Some(serving) = &mut self.serving else { return };
+        serving.commits.committed(sequence, now.steady);
         serving.scheduler.committed(now, sequence);
         while serving.waiting.front().is_some_and(|(at, _)| *at <= sequence) {
             let Some((_, waiting)) = serving.waiting.pop_front() else { break };
@@ -379,9 +388,12 @@
     }
 
     fn propose(&mut self, changes: Vec<Change>) {
-        let sequence = self.replica.propose(self.clock.steady(), changes);
+        let now = self.clock.steady();
+        let bytes = changes.iter().map(Change::bytes).sum();
+        let sequence = self.replica.propose(now, changes);
         if let (Some(sequence), Some(serving)) = (sequence, &mut self.serving) {
             serving.sequence = sequence;
+            serving.commits.proposed(sequence, now, bytes);
         }
     }
 
@@ -395,7 +407,7 @@
             let Effect::Call(call) = effect;
             let inputs = self.inputs.clone();
             let answered = move |call, reply| {
-                let _ = inputs.try_send(Input::Answered(call, reply));
+                inputs.put(Input::Answered(call, reply));
             };
             if active {
                 self.workers.spawn(call, answered);
--- a/crates/cluster/src/control/node/operators.rs
+++ b/crates/cluster/src/control/node/operators.rs
@@ -41,6 +41,13 @@
 
     pub(super) fn status(&self, question: &Question, answers: &Sender<Reply>) {
         let path = match question {
+            Question::Figures => {
+                let body = status::figures(
+                    self.serving.as_ref().map(|serving| (&serving.scheduler, &serving.commits)),
+                );
+                let _ = answers.try_send(Reply { status: 200, body, location: None });
+                return;
+            }
             Question::Members => "/status/members".to_owned(),
             Question::Workers => "/status/workers".to_owned(),
             Question::Jobs => "/status/jobs".to_owned(),
@@ -56,6 +63,7 @@
             Question::Workers => Some(status::workers(&serving.scheduler, self.clock.steady())),
             Question::Jobs => Some(status::jobs(&serving.scheduler)),
             Question::Job(id) => status::job(&serving.scheduler, *id),
+            Question::Figures => None,
         };
         let reply = match found {
             Some(value) => Reply { status: 200, body: value.to_string(), location: None },
--- a/crates/cluster/src/control/operator.rs
+++ b/crates/cluster/src/control/operator.rs
@@ -1,6 +1,6 @@
 //! The operators' interface over HTTP.
 use crate::control::node::clients::job_id;
-use crate::control::{Input, Question, Reply};
+use crate::control::{Input, Inputs, Question, Reply};
 use crate::http::framing::Bounds;
 use crate::http::server::{self, Limits};
 use async_std::channel::{Sender, bounded};
@@ -25,7 +25,7 @@
 const CONNECTIONS: usize = 128;
 
 /// Serves operators at that address.
-pub async fn serve(address: String, inputs: Sender<Input>) {
+pub async fn serve(address: String, inputs: Inputs) {
     let mut app = tide::with_state(inputs);
     app.at("/config/replace").post(replace);
     app.at("/config/get").get(get);
@@ -38,7 +38,7 @@
     server::serve(address, app, Arc::new(limits), CONNECTIONS).await;
 }
 
-async fn replace(mut request: Request<Sender<Input>>) -> tide::Result {
+async fn replace(mut request: Request<Inputs>) -> tide::Result {
     let base = match request.header(BASE_VERSION).map(|value| value.as_str().trim().parse::<u64>()) {
         None => 0,
         Some(Ok(base)) => base,
@@ -48,24 +48,24 @@
     ask(request.state(), |answers| Input::Replace(base, text, answers)).await
 }
 
-async fn get(request: Request<Sender<Input>>) -> tide::Result {
+async fn get(request: Request<Inputs>) -> tide::Result {
     ask(request.state(), Input::Read).await
 }
 
-async fn status(request: Request<Sender<Input>>, question: Question) -> tide::Result {
+async fn status(request: Request<Inputs>, question: Question) -> tide::Result {
     ask(request.state(), |answers| Input::Status(question, answers)).await
 }
 
-async fn job(request: Request<Sender<Input>>) -> tide::Result {
+async fn job(request: Request<Inputs>) -> tide::Result {
     match request.param("id").ok().and_then(job_id) {
         Some(id) => status(request, Question::Job(id)).await,
         None => Ok(plain(400, "not 16 hex digits")),
     }
 }
 
-async fn ask(inputs: &Sender<Input>, input: impl FnOnce(Sender<Reply>) -> Input) -> tide::Result {
+async fn ask(inputs: &Inputs, input: impl FnOnce(Sender<Reply>) -> Input) -> tide::Result {
     let (answers, answer) = bounded(1);
-    inputs.send(input(answers)).await?;
+    inputs.put(input(answers));
     match timeout(ANSWER, answer.recv()).await {
         Ok(Ok(reply)) => Ok(response(reply)),
         // Whether it was taken is not known.
@@ -73,6 +73,16 @@
     }
 }
 
+/// The figures of a control plane, as text.
+pub async fn figures(inputs: Inputs) -> String {
+    let (answers, answer) = bounded(1);
+    inputs.put(Input::Status(Question::Figures, answers));
+    match timeout(ANSWER, answer.recv()).await {
+        Ok(Ok(reply)) => reply.body,
+        _ => String::new(),
+    }
+}
+
 fn response(reply: Reply) -> Response {
     let mut response = plain(reply.status, &reply.body);
     if reply.status == 200 {
--- a/crates/cluster/src/control/status.rs
+++ b/crates/cluster/src/control/status.rs
@@ -1,8 +1,11 @@
 //! What operators see of a node that serves, as JSON.
+use crate::control::node::CommitTimes;
+use crate::metrics;
 use serde::Serialize;
 use serde_json::{Value, json};
 use spanlead_jobs::{Outcome, Scheduler, State};
 use spanlead_replication::Replica;
+use std::fmt::Write;
 
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +18,8 @@
     Jobs,
     /// One job.
     Job(u64),
+    /// The figures of this process, whether it serves or not.
+    Figures,
 }
 
 #[derive(Serialize)]
@@ -72,6 +77,39 @@
     json!({ "jobs": jobs, "waiting": waiting, "runs": runs, "events": events })
 }
 
+/// The figures of a process, and of its scheduler if it serves.
+#[must_use]
+pub fn figures(serving: Option<(&Scheduler, &CommitTimes)>) -> String {
+    let mut text = metrics::traffic();
+    let _ = writeln!(text, "spanlead_serves {}", u8::from(serving.is_some()));
+    let Some((scheduler, commits)) = serving else { return text };
+    let (batches, batch_bytes, commit_ms) = commits.figures();
+    let (jobs, waiting, runs, events) = scheduler.counts();
+    let figures = scheduler.figures();
+    let (shortest, longest) = figures.deadlines_ms.unwrap_or_default();
+    let lines = [
+        ("spanlead_batches", batches),
+        ("spanlead_batch_bytes", batch_bytes),
+        ("spanlead_commit_ms", commit_ms),
+        ("spanlead_jobs", jobs as u64),
+        ("spanlead_units_waiting", waiting as u64),
+        ("spanlead_runs", runs as u64),
+        ("spanlead_events", events),
+        ("spanlead_starts", figures.starts),
+        ("spanlead_starts_given_up", figures.given_up),
+        ("spanlead_starts_given_up_too_soon", figures.premature),
+        ("spanlead_stops", figures.stops),
+        ("spanlead_copies", figures.copies),
+        ("spanlead_starts_at_a_time", figures.starts_at_a_time),
+        ("spanlead_shortest_deadline_ms", shortest),
+        ("spanlead_longest_deadline_ms", longest),
+    ];
+    for (name, value) in lines {
+        let _ = writeln!(text, "{name} {value}");
+    }
+    text
+}
+
 /// One job; `None` if there is none.
 #[must_use]
 pub fn job(scheduler: &Scheduler, id: u64) -> Option<Value> {
--- a/crates/cluster/src/data/core_links.rs
+++ b/crates/cluster/src/data/core_links.rs
@@ -7,17 +7,19 @@
 use async_std::channel::{Receiver, Sender, bounded, unbounded};
 use async_std::future::timeout;
 use async_std::task;
-use spanlead_configuration::Configuration;
-use spanlead_dissemination::{Disseminator, Item, Output};
+use spanlead_configuration::DataPlaneConfiguration;
+use spanlead_dissemination::{Disseminator, Item, Message, Output};
 use spanlead_replication::Lane;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How often all known nodes of the control plane are greeted.
 const GREET: Duration = Duration::from_millis(500);
 /// How long the primary may take for an answer before it is asked again.
 const ANSWER: Duration = Duration::from_millis(1_200);
+/// How long an answer may take before the connection is probed, again and again.
+const PROBE: Duration = Duration::from_millis(150);
 /// Between two looks whether there is a primary.
 const LOOK: Duration = Duration::from_millis(25);
 /// How long a control plane may be without a primary before requests are refused at once, milliseconds.
@@ -43,7 +45,7 @@
 struct Inner {
     directory: Directory,
     connected: BTreeSet<String>,
-    configuration: Option<Arc<Configuration>>,
+    configuration: Option<Arc<DataPlaneConfiguration>>,
     spread: Disseminator,
     /// Requests whose answers are out, with the node that has them.
     calls: HashMap<u64, (String, Sender<ClientReply>)>,
@@ -88,7 +90,7 @@
         let gossip = core.clone();
         let take = move |frame, _: &Sender<Frame>| {
             if let Frame::Gossip { from, message } = frame {
-                gossip.spread(|spread, now| spread.handle(&from, message, now));
+                gossip.hear(&from, message);
             }
         };
         task::spawn(accept::serve(settings.peer(), Arc::new(take)));
@@ -100,9 +102,9 @@
         self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// The configuration in force, as far as it has come here.
+    /// What this process needs of the configuration in force, as far as it has come here.
     #[must_use]
-    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+    pub fn configuration(&self) -> Option<Arc<DataPlaneConfiguration>> {
         self.lock().configuration.clone()
     }
 
@@ -143,10 +145,10 @@
             let left = Duration::from_millis(due - now).min(ANSWER);
             let (serial, answer) = self.post(&primary, host, path, ask.clone());
             sent = true;
-            let reply = timeout(left, answer.recv()).await;
+            let reply = self.wait(&primary, &answer, left).await;
             self.lock().calls.remove(&serial);
             match reply {
-                Ok(Ok(reply)) if reply.status != 0 => {
+                Some(reply) if reply.status != 0 => {
                     let refused = matches!(ask, Ask::Submit(_)) && REFUSALS.contains(&reply.status);
                     if unknown && refused {
                         return Outcome::Unknown;
@@ -161,6 +163,25 @@
         }
     }
 
+    /// Waits for an answer. A machine that has restarted knows nothing of the connection, which shows only when something
+    /// is written: so while no answer comes, something is.
+    async fn wait(
+        &self,
+        primary: &str,
+        answer: &Receiver<ClientReply>,
+        longest: Duration,
+    ) -> Option<ClientReply> {
+        let until = Instant::now() + longest;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            match timeout(left.min(PROBE), answer.recv()).await {
+                Ok(answered) => return answered.ok(),
+                Err(_) if left <= PROBE => return None,
+                Err(_) => self.links.send(primary, Lane::Control, &Frame::Ping),
+            }
+        }
+    }
+
     fn post(&self, primary: &str, host: &str, path: &str, ask: Ask) -> (u64, Receiver<ClientReply>) {
         let (answers, answer) = bounded(1);
         let serial = {
@@ -200,8 +221,8 @@
                     inner.directory = directory;
                 }
             }
-            LinkEvent::Frame(_, Frame::Configuration(text)) => {
-                let item = Item { version: text.version, content: text.text.into_bytes() };
+            LinkEvent::Frame(_, Frame::Configuration(configuration)) => {
+                let item = Item { version: configuration.version, content: configuration.encode() };
                 self.spread(|spread, now| spread.offer(item, now));
             }
             LinkEvent::Frame(_, Frame::Peers(peers)) => self.spread(|spread, now| spread.meet(&peers, now)),
@@ -238,13 +259,24 @@
         }
     }
 
+    /// Takes what another data plane says. An item that can't be read is not taken: its version would keep the readable
+    /// one out.
+    fn hear(&self, from: &str, message: Message) {
+        if let Message::Bring { item } = &message
+            && !is_readable(item)
+        {
+            return log::warn!("configuration {} from {from} can't be read", item.version);
+        }
+        self.spread(|spread, now| spread.handle(from, message, now));
+    }
+
     fn configure(&self, item: &Item) {
-        match Configuration::read(&String::from_utf8_lossy(&item.content)) {
+        match DataPlaneConfiguration::decode(&item.content) {
             Ok(configuration) => {
                 log::debug!("configuration {} is in force", item.version);
                 self.lock().configuration = Some(Arc::new(configuration));
             }
-            Err(error) => log::warn!("configuration {} can't be read: {error}", item.version),
+            Err(error) => log::warn!("configuration {}: {error}", item.version),
         }
     }
 
@@ -257,6 +289,11 @@
     }
 }
 
+/// Whether an item holds what its version says.
+fn is_readable(item: &Item) -> bool {
+    DataPlaneConfiguration::decode(&item.content).is_ok_and(|read| read.version == item.version)
+}
+
 /// Keeps a connection to every known node.
 async fn greet(core: CoreLinks) {
     loop {
--- a/crates/cluster/src/data/front.rs
+++ b/crates/cluster/src/data/front.rs
@@ -4,7 +4,7 @@
 use crate::http::framing::Bounds;
 use crate::http::server::{self, Limits};
 use crate::time::Clock;
-use spanlead_configuration::Configuration;
+use spanlead_configuration::DataPlaneConfiguration;
 use spanlead_jobs::JobSpec;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -67,7 +67,7 @@
 }
 
 /// What clients may send by the configuration in force.
-fn limits(configuration: Option<&Configuration>) -> Limits {
+fn limits(configuration: Option<&DataPlaneConfiguration>) -> Limits {
     let given = configuration.map(|c| &c.limits);
     let bytes =
         |given: Option<u64>, usual: usize| given.and_then(|g| usize::try_from(g).ok()).unwrap_or(usual);
--- a/crates/cluster/src/data/mod.rs
+++ b/crates/cluster/src/data/mod.rs
@@ -2,6 +2,7 @@
 pub mod core_links;
 mod front;
 
+use crate::metrics;
 use crate::settings::Settings;
 use crate::time::Clock;
 use async_std::task;
@@ -47,6 +48,9 @@
     let connections = settings.max_descriptors().saturating_sub(KEPT_DESCRIPTORS).max(KEPT_DESCRIPTORS);
     task::block_on(async {
         let core = CoreLinks::start(settings, clock);
+        if let Some(endpoint) = settings.metrics_endpoint() {
+            metrics::start(endpoint, || async { metrics::traffic() });
+        }
         let state = front::State::new(core, ending.clone(), clock);
         task::spawn(front::serve(front, state.clone(), connections));
         if let Some(ready) = ready {
--- a/crates/cluster/src/frame.rs
+++ b/crates/cluster/src/frame.rs
@@ -1,9 +1,11 @@
 //! What processes of the system say to one another.
 #![allow(missing_docs, reason = "the types that rkyv derives from these have undocumented fields")]
+use crate::metrics;
 use quick_error::quick_error;
 use rkyv::{Archive, Deserialize, Serialize};
+use spanlead_configuration::DataPlaneConfiguration;
 use spanlead_jobs::JobSpec;
-use spanlead_replication::Envelope;
+use spanlead_replication::{Envelope, Lane};
 
 /// The largest frame that is read, bytes.
 pub const MAX_FRAME: usize = 64 << 20;
@@ -74,15 +76,6 @@
     pub members: Vec<String>,
 }
 
-/// A configuration as it was taken.
-#[derive(Archive, Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
-pub struct ConfigurationText {
-    /// Its version.
-    pub version: u64,
-    /// Its text, as the operator sent it.
-    pub text: String,
-}
-
 /// One message between processes.
 #[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub enum Frame {
@@ -99,8 +92,8 @@
     },
     /// Who serves.
     Directory(Directory),
-    /// A configuration that is in force.
-    Configuration(ConfigurationText),
+    /// What data planes need of the configuration that is in force.
+    Configuration(DataPlaneConfiguration),
     /// A client's request.
     Call(ClientCall),
     /// Its answer.
@@ -118,6 +111,93 @@
     Ping,
 }
 
+/// What a frame is about, as the metrics name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameKind {
+    /// Leases, votes and all else that is small between members of the control plane.
+    ReplicationControl,
+    /// Batches and repairs.
+    ReplicationData,
+    /// A data plane's process shows itself.
+    Hello,
+    /// Who serves.
+    Directory,
+    /// What data planes need of a configuration.
+    Configuration,
+    /// A client's request.
+    Call,
+    /// Its answer.
+    Reply,
+    /// The data planes that one should tell and watch.
+    Peers,
+    /// Between data planes.
+    Gossip,
+    /// Nothing.
+    Ping,
+}
+
+impl FrameKind {
+    /// All kinds, in the order of their numbers.
+    pub const ALL: [FrameKind; 10] = [
+        FrameKind::ReplicationControl,
+        FrameKind::ReplicationData,
+        FrameKind::Hello,
+        FrameKind::Directory,
+        FrameKind::Configuration,
+        FrameKind::Call,
+        FrameKind::Reply,
+        FrameKind::Peers,
+        FrameKind::Gossip,
+        FrameKind::Ping,
+    ];
+
+    /// Its name in the metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            FrameKind::ReplicationControl => "replication_control",
+            FrameKind::ReplicationData => "replication_data",
+            FrameKind::Hello => "hello",
+            FrameKind::Directory => "directory",
+            FrameKind::Configuration => "configuration",
+            FrameKind::Call => "call",
+            FrameKind::Reply => "reply",
+            FrameKind::Peers => "peers",
+            FrameKind::Gossip => "gossip",
+            FrameKind::Ping => "ping",
+        }
+    }
+}
+
+impl Frame {
+    /// What it is about.
+    #[must_use]
+    pub fn kind(&self) -> FrameKind {
+        match self {
+            Frame::Replication(envelope) => match envelope.message.lane() {
+                Lane::Control => FrameKind::ReplicationControl,
+                Lane::Data => FrameKind::ReplicationData,
+            },
+            Frame::Hello { .. } => FrameKind::Hello,
+            Frame::Directory(_) => FrameKind::Directory,
+            Frame::Configuration(_) => FrameKind::Configuration,
+            Frame::Call(_) => FrameKind::Call,
+            Frame::Reply(_) => FrameKind::Reply,
+            Frame::Peers(_) => FrameKind::Peers,
+            Frame::Gossip { .. } => FrameKind::Gossip,
+            Frame::Ping => FrameKind::Ping,
+        }
+    }
+}
+
+/// A frame's bytes on their way: its length and itself, counted as sent.
+#[must_use]
+pub fn encode_to_send(frame: &Frame) -> Vec<u8> {
+    let bytes = encode(frame);
+    metrics::count_sent(frame, bytes.len());
+    bytes
+}
+
 /// A frame's bytes: its length and itself.
 #[must_use]
 pub fn encode(frame: &Frame) -> Vec<u8> {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod listen;
 pub mod logs;
+pub mod metrics;
 pub mod platform;
 pub mod pool;
 pub mod program;
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -1,10 +1,11 @@
 //! Connections between processes: frames out, frames in, and news of a connection that was lost.
-use crate::frame::{Frame, FrameError, MAX_FRAME, decode, encode};
+use crate::frame::{Frame, FrameError, MAX_FRAME, decode, encode_to_send};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use async_std::task;
+use futures_lite::future::or;
 use spanlead_replication::Lane;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -16,6 +17,8 @@
 const WRITE: Duration = Duration::from_millis(1_000);
 /// Between two tries to connect.
 const RETRY: Duration = Duration::from_millis(100);
+/// How long a connection that was lost is tried again without anything to say.
+const RECONNECT: Duration = Duration::from_secs(5);
 /// How often a connection shows that it is alive.
 const PING: Duration = Duration::from_millis(500);
 /// Silence after which a connection counts as lost: its other side answers pings.
@@ -117,7 +120,7 @@
     pub fn send(&self, address: &str, lane: Lane, frame: &Frame) {
         let mut queues = self.queues.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let place = (address.to_owned(), lane);
-        let bytes = match queues.get(&place).map(|queue| queue.try_send(encode(frame))) {
+        let bytes = match queues.get(&place).map(|queue| queue.try_send(encode_to_send(frame))) {
             Some(Ok(())) => return,
             Some(Err(error)) if error.is_full() => {
                 log::debug!("{address}: the {lane:?} lane is full");
@@ -127,7 +130,7 @@
                 return;
             }
             Some(Err(error)) => error.into_inner(),
-            None => encode(frame),
+            None => encode_to_send(frame),
         };
         let (sender, receiver) = bounded(QUEUE);
         let _ = sender.try_send(bytes);
@@ -136,12 +139,22 @@
     }
 }
 
-/// Keeps the connection to an address while there is something to say.
+/// Keeps the connection to an address while there is something to say. One that was lost is made anew at once: its other
+/// side may have come back, and those who wait for an answer should not wait for the next thing to say.
 async fn run(address: String, queue: Receiver<Vec<u8>>, events: Sender<LinkEvent>) {
+    let mut lost_at: Option<Instant> = None;
     loop {
-        let Ok(Ok(first)) = timeout(IDLE, queue.recv()).await else {
-            queue.close();
-            return;
+        let first = match lost_at {
+            Some(at) if at.elapsed() < RECONNECT && !queue.is_closed() => {
+                queue.try_recv().unwrap_or_else(|_| encode_to_send(&Frame::Ping))
+            }
+            _ => {
+                let Ok(Ok(first)) = timeout(IDLE, queue.recv()).await else {
+                    queue.close();
+                    return;
+                };
+                first
+            }
         };
         let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(&address)).await else {
             // What waits is as old as the try; those who still want it say it again.
@@ -150,11 +163,16 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
+        let made_at = Instant::now();
         let _ = events.send(LinkEvent::Up(address.clone())).await;
-        let reader = task::spawn(read_all(address.clone(), stream.clone(), events.clone()));
-        write_all(stream, first, &queue).await;
-        reader.cancel().await;
+        let write = write_all(stream.clone(), first, &queue);
+        or(write, read_all(address.clone(), stream.clone(), events.clone())).await;
+        let _ = stream.shutdown(std::net::Shutdown::Both);
         let _ = events.send(LinkEvent::Down(address.clone())).await;
+        lost_at = Some(Instant::now());
+        if made_at.elapsed() < RETRY {
+            task::sleep(RETRY).await;
+        }
     }
 }
 
@@ -171,7 +189,7 @@
         // Also between other frames: the reader on this side hears nothing but the answers to these.
         if pinged.elapsed() >= PING {
             pinged = Instant::now();
-            next.extend(encode(&Frame::Ping));
+            next.extend(encode_to_send(&Frame::Ping));
         }
         if write_steadily(&mut stream, &next, WRITE).await.is_err() {
             break;
@@ -182,12 +200,11 @@
             Err(_) => Vec::new(),
         };
     }
-    let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
-/// Reads frames until the connection ends or falls silent, which ends the writing too.
+/// Reads frames until the connection ends or falls silent.
 async fn read_all(address: String, stream: TcpStream, events: Sender<LinkEvent>) {
-    let mut reader = async_std::io::BufReader::new(stream.clone());
+    let mut reader = async_std::io::BufReader::new(stream);
     while let Ok(frame) = read_frame(&mut reader, SILENCE).await {
         if frame == Frame::Ping {
             continue;
@@ -196,6 +213,4 @@
             break;
         }
     }
-    let _ = stream.shutdown(std::net::Shutdown::Both);
-    let _ = events.send(LinkEvent::Down(address)).await;
 }
--- a/crates/cluster/src/pool.rs
+++ b/crates/cluster/src/pool.rs
@@ -134,11 +134,13 @@
         if self.permits.try_recv().is_ok() {
             return place(None, Permit { free: self.free.clone() });
         }
+        // From here on a connection that is given back frees its permit: none may become idle unseen between the look for
+        // an idle one and the wait.
+        let _waits = Waits::begin(&self.waiting);
         let evicted = self.lock().evict();
         if let Some(permit) = evicted {
             return place(None, permit);
         }
-        let _waits = Waits::begin(&self.waiting);
         // The pool holds a sender itself, so this does not fail.
         let _ = self.permits.recv().await;
         place(None, Permit { free: self.free.clone() })
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -1,4 +1,5 @@
 //! The settings file of a process.
+use crate::metrics::Endpoint;
 use miniserde::{Deserialize, json};
 use quick_error::quick_error;
 use std::net::SocketAddr;
@@ -127,6 +128,8 @@
     pub fault_tolerance: Option<FaultTolerance>,
     /// Figures of the rules.
     pub bounds: Option<Bounds>,
+    /// Where the process tells its figures: port and path, as `9100/metrics`.
+    pub metrics: Option<String>,
     /// The platform's list.
     #[serde(rename = "cloudApi")]
     pub cloud: Option<CloudApi>,
@@ -154,6 +157,11 @@
         if settings.ports.len() != 2 || settings.ports[0] > settings.ports[1] {
             return value("portRange: not a first and a last port");
         }
+        if settings.metrics.as_ref().is_some_and(|told| !told.is_empty())
+            && settings.metrics_endpoint().is_none()
+        {
+            return value("metrics: not a port and a path");
+        }
         if settings.seeds.iter().any(|seed| seed.parse::<SocketAddr>().is_err()) {
             return value("seeds: not all are addresses");
         }
@@ -179,6 +187,14 @@
         self.seeds.iter().filter_map(ip).map(|ip| self.peer_of(&ip)).collect()
     }
 
+    /// Where the process tells its figures, if it is to.
+    #[must_use]
+    pub fn metrics_endpoint(&self) -> Option<Endpoint> {
+        let (port, path) = self.metrics.as_deref()?.split_once('/')?;
+        let port: u16 = port.parse().ok()?;
+        Some(Endpoint { address: format!("{}:{port}", self.ip), path: format!("/{path}") })
+    }
+
     /// Machines that may be lost at once.
     #[must_use]
     pub fn losses(&self) -> usize {
--- a/crates/cluster/tests/links.rs
+++ b/crates/cluster/tests/links.rs
@@ -87,3 +87,19 @@
     }
     assert_eq!(lost, 0, "the connection was lost");
 }
+
+/// A connection that its other side has ended is made anew at once, though nobody has anything to say.
+#[async_std::test]
+async fn a_lost_connection_is_made_anew_at_once() {
+    let listener = async_std::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let (events, _inbox) = unbounded();
+    let links = Links::new(events);
+    links.send(&address, Lane::Control, &Frame::Ping);
+    let (first, _) = listener.accept().await.expect("connected");
+    // As usual it has lasted for a while.
+    task::sleep(Duration::from_millis(150)).await;
+    drop(first);
+    let again = timeout(Duration::from_millis(200), listener.accept()).await;
+    assert!(again.is_ok(), "nobody connects");
+}
--- a/crates/configuration/src/form.rs
+++ b/crates/configuration/src/form.rs
@@ -56,7 +56,18 @@
 }
 
 /// What requests may be like.
-#[derive(Serialize, Deserialize, Clone, Default, Debug, PartialEq)]
+#[derive(
+    Serialize,
+    Deserialize,
+    Clone,
+    Default,
+    Debug,
+    PartialEq,
+    Eq,
+    rkyv::Archive,
+    rkyv::Serialize,
+    rkyv::Deserialize,
+)]
 pub struct Limits {
     /// The head's size, bytes.
     #[serde(rename = "maxHeaderBytes")]
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -3,9 +3,11 @@
 //! [`Configuration::read`] reads one in full or refuses it with every fault that was found. The base version, and
 //! whether it follows the current one, is for the caller to judge: see [`Configuration::follows`].
 mod check;
+mod data_plane;
 mod form;
 
 pub use check::{Fault, ReadError};
+pub use data_plane::{DataPlaneConfiguration, DataPlaneError};
 pub use form::{Limits, Route, Service};
 
 use miniserde::json;
--- a/crates/configuration/tests/read.rs
+++ b/crates/configuration/tests/read.rs
@@ -47,3 +47,36 @@
         true
     }
 }
+
+/// What data planes are told does not grow with the number of routes, and comes back as it went.
+#[test]
+fn the_part_for_data_planes_is_small_however_many_routes_there_are() {
+    let route = |n: u32| {
+        format!(
+            r#"{{"name":"r-{n}","host":"a.example","pathPrefix":"/{n}/","timeoutMs":3000,"service":"s"}}"#
+        )
+    };
+    let routes: Vec<String> = (0..1_400).map(route).collect();
+    let text = format!(
+        r#"{{"version":9,"routes":[{}],"services":[{{"name":"s"}}],"limits":{{"maxHeaderBytes":16384}}}}"#,
+        routes.join(",")
+    );
+    let part = DataPlaneConfiguration::from(&Configuration::read(&text).expect("good"));
+    let bytes = part.encode();
+    assert!(bytes.len() < 200, "{} bytes of {}", bytes.len(), text.len());
+    assert_eq!(part.limits.max_header_bytes, Some(16_384));
+    assert_eq!(DataPlaneConfiguration::decode(&bytes), Ok(part));
+}
+
+quickcheck! {
+    fn hostile_parts_do_no_harm(at: usize, byte: u8, cut: usize) -> bool {
+        let limits = Limits { max_body_bytes: Some(9), ..Limits::default() };
+        let part = DataPlaneConfiguration { version: 3, limits };
+        let mut bytes = part.encode();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        bytes.truncate(cut % (bytes.len() + 1));
+        let _ = DataPlaneConfiguration::decode(&bytes);
+        true
+    }
+}
--- a/crates/dissemination/tests/spread.rs
+++ b/crates/dissemination/tests/spread.rs
@@ -5,6 +5,9 @@
 use spanlead_dissemination::*;
 use std::collections::BTreeMap;
 
+/// What a message takes beside its content, bytes.
+const HEAD_BYTES: usize = 100;
+
 struct World {
     now: u64,
     nodes: BTreeMap<String, Disseminator>,
@@ -12,6 +15,9 @@
     mail: BTreeMap<(u64, u64), (String, String, Message)>,
     count: u64,
     loss: f64,
+    /// What each process's link carries, bytes a millisecond, and when it is free again.
+    bytes_per_ms: Option<usize>,
+    free_at: BTreeMap<String, u64>,
     rng: ChaCha8Rng,
     seen: BTreeMap<String, u64>,
     reports: Vec<(String, String, bool)>,
@@ -24,8 +30,9 @@
             names.iter().map(|name| (name.clone(), Disseminator::new(name))).collect();
         nodes.values_mut().for_each(|node| node.meet(&names, 0));
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let (mail, seen, dead, reports) = Default::default();
-        World { now: 0, nodes, dead, mail, count: 0, loss, rng, seen, reports }
+        let (mail, seen, dead, reports, free_at) = Default::default();
+        let bytes_per_ms = None;
+        World { now: 0, nodes, dead, mail, count: 0, loss, bytes_per_ms, free_at, rng, seen, reports }
     }
 
     fn run(&mut self, ms: u64) {
@@ -51,12 +58,22 @@
         }
     }
 
+    /// When the last byte of a message has left: bytes wait for those before them on the same link.
+    fn sent(&mut self, from: &str, message: &Message) -> u64 {
+        let Some(bytes_per_ms) = self.bytes_per_ms else { return self.now };
+        let bytes = HEAD_BYTES + if let Message::Bring { item } = message { item.content.len() } else { 0 };
+        let free_at = self.free_at.entry(from.to_owned()).or_default();
+        *free_at = (*free_at).max(self.now) + bytes.div_ceil(bytes_per_ms) as u64;
+        *free_at
+    }
+
     fn carry_out(&mut self, name: &str, output: Output) {
         match output {
             Output::Send { to, message } => {
                 if !self.rng.random_bool(self.loss) {
                     self.count += 1;
-                    let at = self.now + self.rng.random_range(1..20);
+                    let sent_at = self.sent(name, &message);
+                    let at = sent_at + self.rng.random_range(1..20);
                     self.mail.insert((at, self.count), (name.to_owned(), to, message));
                 }
             }
@@ -90,6 +107,32 @@
     }
 }
 
+/// A storm of versions on links of 2 Mbit/s: with what data planes are told of a configuration nobody is taken for
+/// silent, and the newest version is everywhere a second after the last.
+#[test]
+fn a_storm_of_versions_delays_no_heartbeat_on_narrow_links() {
+    const ITEM_BYTES: usize = 128;
+    const LINK_BYTES_PER_MS: usize = 250;
+    const EVERY_MS: u64 = 100;
+    for seed in 0..6 {
+        let mut world = World::new(seed, 32, 0.02);
+        world.bytes_per_ms = Some(LINK_BYTES_PER_MS);
+        world.run(1_000);
+        for version in 1..=100 {
+            let now = world.now;
+            for name in ["node-0", "node-1"] {
+                let item = Item { version, content: vec![0; ITEM_BYTES] };
+                world.nodes.get_mut(name).expect("known").offer(item, now);
+            }
+            world.run(EVERY_MS);
+        }
+        assert!(world.reports.is_empty(), "seed {seed}: {:?}", world.reports);
+        world.run(1_000);
+        let versions: Vec<u64> = world.nodes.values().map(|n| n.item().map_or(0, |i| i.version)).collect();
+        assert!(versions.iter().all(|version| *version == 100), "seed {seed}: {versions:?}");
+    }
+}
+
 #[test]
 fn each_is_watched_by_some_and_the_silent_are_reported() {
     let mut world = World::new(3, 30, 0.05);
