--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -4,7 +4,8 @@
 use crate::holds::HOLD_TIMEOUT_MS;
 use crate::job::Phase;
 use crate::record::TaskKey;
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::terms::Now;
 use crate::worker::{HoldState, Standing};
 use std::collections::BTreeSet;
 
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -4,7 +4,8 @@
 //! while there are few workers; many are looked at one after the other, so that neither connections nor processor time grow
 //! with workers that do nothing.
 use crate::effect::{Order, Reply};
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::terms::Now;
 use crate::worker::{HoldState, Standing, Worker};
 
 /// How long a hold waits for an end where something runs, milliseconds.
--- a/crates/jobs/src/listing.rs
+++ b/crates/jobs/src/listing.rs
@@ -2,7 +2,8 @@
 use crate::clock::WorkerClock;
 use crate::effect::{Listed, ListedState};
 use crate::events::End;
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::terms::Now;
 use crate::worker::{Resources, Standing, Worker};
 use std::collections::BTreeSet;
 
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -2,7 +2,8 @@
 use crate::clock::WorkerClock;
 use crate::job::{Job, Phase, Run};
 use crate::record::{ClosedRecord, JobRecord, Key, TaskKey, TaskRecord};
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::terms::Now;
 use crate::worker::Worker;
 
 /// Whether a record of the key space is one that this version reads.
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -2,7 +2,8 @@
 use crate::events::{End, Event};
 use crate::job::Outcome;
 use crate::record::TaskKey;
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::terms::Now;
 
 impl Scheduler {
     /// Records the end of a run and does what follows.
--- a/crates/jobs/src/watch.rs
+++ b/crates/jobs/src/watch.rs
@@ -1,8 +1,9 @@
 //! Work that gets nowhere: tasks that stand still, and jobs that can never be done.
 use crate::job::{Outcome, Phase, Run};
 use crate::record::TaskKey;
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
 use crate::spec::Stage;
+use crate::terms::Now;
 use crate::worker::{Resources, Worker};
 
 /// How long a task may make no progress before it counts as standing still, milliseconds.
--- a/crates/jobs/tests/load.rs
+++ b/crates/jobs/tests/load.rs
@@ -38,6 +38,26 @@
     assert_eq!(more, MOST / 2);
 }
 
+/// What waits behind many gangs that have no room is placed all the same.
+#[test]
+fn what_has_room_is_placed_behind_much_that_has_none() {
+    let mut desk = Desk::new(3);
+    let taken = ONE.replace("\"count\":1", "\"count\":2").replace("600", "900");
+    desk.submit(1, &taken);
+    for start in starts(&desk.write(true)) {
+        desk.answer(start, Reply::Done { clock_ms: desk.now - 900_000 });
+    }
+    let gang = ONE.replace("\"count\":1", "\"count\":2,\"gang\":true");
+    for id in 2..602 {
+        desk.submit(id, &gang);
+    }
+    desk.submit(1_000, ONE);
+    let begun_at = desk.now;
+    while starts(&desk.pass(20)).is_empty() {
+        assert!(desk.now < begun_at + 1_000, "it waits behind what has no room");
+    }
+}
+
 /// A scheduler that is behind begins less at a time, and more again once it keeps up.
 #[test]
 fn a_scheduler_that_is_behind_begins_less() {
