Take a worker for silent when no connection to it can be made, and a start to it for never sent

Cause: a hold whose connection hung was told as refused, so after the kept connection of a cut-off worker was gone its misses stood at one: it counted neither as reachable nor as out of reach, and what ran there never lapsed. A start whose connection was refused was told as silence and waited for the lapse, though it had never been sent. Ruled out: counting refused holds as misses in the scheduler (a worker may turn a hold away; a full pool is no news of a worker). Change: a call knows whether it waits, connects or was sent. What can't be connected is silence for holds and stops, and not sent for starts. Measured: tests/unreachable_worker.rs (a port without a listener, and connections that hang), fails without the change.

--- a/crates/cluster/src/workers.rs
+++ b/crates/cluster/src/workers.rs
@@ -57,6 +57,17 @@
     remaining_ms: Option<u64>,
 }
 
+/// How far a call is.
+#[derive(Clone, Copy, Debug)]
+enum Progress {
+    /// It waits for the right to a connection.
+    Waiting,
+    /// A connection is being made.
+    Connecting,
+    /// It may have reached the worker.
+    Sent,
+}
+
 /// Makes calls to workers, over connections that are kept and of which there is a bounded number.
 #[derive(Clone, Debug)]
 pub struct WorkerCalls {
@@ -75,27 +86,24 @@
         let calls = self.clone();
         task::spawn(async move {
             let limit = Duration::from_millis(call.timeout_ms);
-            let mut sent = false;
-            let answer = timeout(limit, calls.call(&call, &mut sent)).await;
-            let reply = match answer {
-                Ok(reply) => reply,
-                Err(_) if sent => Reply::Silence,
-                Err(_) => not_sent(),
-            };
+            let mut progress = Progress::Waiting;
+            let answer = timeout(limit, calls.call(&call, &mut progress)).await;
+            let reply = answer.unwrap_or_else(|_| unanswered(&call.order, progress));
             done(call, reply);
         });
     }
 
-    async fn call(&self, call: &Call, sent: &mut bool) -> Reply {
+    async fn call(&self, call: &Call, progress: &mut Progress) -> Reply {
         let Some(request) = request(call) else { return not_sent() };
         let Ok(bytes) = client::encode(request).await else { return not_sent() };
         let place = self.pool.place(&call.address).await;
+        *progress = Progress::Connecting;
         let mut stream = match place.stream().await {
             Some(stream) => stream,
-            // A connection that can't be made is heard of as silence: the worker may be gone.
-            None => return Reply::Silence,
+            // The worker may be gone.
+            None => return unanswered(&call.order, Progress::Connecting),
         };
-        *sent = true;
+        *progress = Progress::Sent;
         match client::call(&mut stream, &bytes).await {
             Ok(answer) => {
                 if answer.reusable {
@@ -122,6 +130,15 @@
     }
 }
 
+/// What a call that was not answered in time comes to. A worker to which no connection can be made is silent; only of a
+/// start it matters more that it was never sent.
+fn unanswered(order: &Order, progress: Progress) -> Reply {
+    match (progress, order) {
+        (Progress::Waiting, _) | (Progress::Connecting, Order::Start { .. }) => not_sent(),
+        (Progress::Connecting | Progress::Sent, _) => Reply::Silence,
+    }
+}
+
 /// The answer to a call that was never sent: as one that the worker turned away, it can be made again.
 fn not_sent() -> Reply {
     Reply::Refused { status: 503, reason: CompactString::default() }
--- /dev/null
+++ b/crates/cluster/tests/unreachable_worker.rs
@@ -0,0 +1,57 @@
+//! A worker to which no connection can be made: it is silent, and a start that was never sent can go elsewhere at once.
+use async_std::channel::{Receiver, unbounded};
+use spanlead_cluster::workers::WorkerCalls;
+use spanlead_jobs::{Call, Order, Reply, TaskKey};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const TIMEOUT_MS: u64 = 200;
+
+fn hold() -> Order {
+    Order::Hold { serial: 1, until_ms: None, last_seen: 0, wait_ms: 0 }
+}
+
+fn start() -> Order {
+    let task = TaskKey { job: 1, occurrence: 0, stage: 0, index: 0 };
+    Order::Start { task, run: 1, spec: "x".into(), until_ms: 1, checkpointed: Default::default() }
+}
+
+fn ask(address: SocketAddr, order: Order) -> Receiver<Reply> {
+    let (answers, answer) = unbounded();
+    let address = address.to_string().as_str().into();
+    let call = Call { worker: "w".into(), address, order, timeout_ms: TIMEOUT_MS, fence: 1 };
+    WorkerCalls::new(4).spawn(call, move |_, reply| {
+        let _ = answers.try_send(reply);
+    });
+    answer
+}
+
+/// What a hold and a start come to.
+async fn replies(address: SocketAddr) -> (Reply, Reply) {
+    let (hold, start) = (ask(address, hold()), ask(address, start()));
+    (hold.recv().await.expect("told"), start.recv().await.expect("told"))
+}
+
+fn assert_out_of_reach((hold, start): (Reply, Reply)) {
+    assert_eq!(hold, Reply::Silence);
+    assert!(matches!(start, Reply::Refused { status: 503, .. }), "{start:?}");
+}
+
+#[async_std::test]
+async fn nobody_listens() {
+    let address = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    assert_out_of_reach(replies(address).await);
+}
+
+/// As behind a cut: the connection is neither made nor refused.
+#[async_std::test]
+async fn connections_hang() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    rustix::net::listen(&listener, 0).expect("a short queue");
+    let address = listener.local_addr().expect("bound");
+    let patience = Duration::from_millis(100);
+    let full: Vec<TcpStream> =
+        (0..8).filter_map(|_| TcpStream::connect_timeout(&address, patience).ok()).collect();
+    assert!(full.len() < 8, "the queue is not full");
+    assert_out_of_reach(replies(address).await);
+}
