Bound the processor time of hostile inventories, not the time that passes

The whole test takes 7 s with the machine at load 25 when it is scheduled, so the file does not keep the reader longer than stated; the clock on the wall counted what other processes took. Change: the bound of 5 s is on the processor time of the thread that reads. On an idle machine it is as strict as before.

--- a/crates/inventory/tests/fuzz.rs
+++ b/crates/inventory/tests/fuzz.rs
@@ -10,7 +10,7 @@
 use spanlead_facts::{Done, Fact, Judged, Schema, Vocabulary, judge};
 use spanlead_inventory::{Bundle, Form, Reading, Text, read};
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 #[global_allocator]
 static PEAK: PeakAlloc = PeakAlloc;
@@ -224,9 +224,15 @@
     bytes
 }
 
+/// Processor time of this thread: what else the machine does is no fault of the file's.
+fn processor_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 fn bounded(bytes: &[u8], form: Form, schema: &Schema, case: &str) {
     PEAK.reset_peak_usage();
-    let (before, begun) = (PEAK.current_usage(), Instant::now());
+    let (before, begun) = (PEAK.current_usage(), processor_time());
     let judged = taken(bytes, form, schema);
     let took = PEAK.peak_usage().saturating_sub(before);
     let allowed = BASE + PER_BYTE * bytes.len() + PER_HOST * HOSTS;
@@ -235,7 +241,8 @@
         "{case}: {took} bytes of memory for {} of file, {allowed} are stated",
         bytes.len()
     );
-    assert!(begun.elapsed() < PATIENCE, "{case}: took {:?}", begun.elapsed());
+    let worked = processor_time() - begun;
+    assert!(worked < PATIENCE, "{case}: took {worked:?}");
     let last = bytes.split(|b| *b == b'\n' || *b == b'\r').count() + 1;
     for refusal in &judged.refusals {
         assert!(refusal.at.line as usize <= last, "{case}: {} of {last} lines", refusal.show(&judged.files));
