--- a/crates/cluster/control-plane/src/commit_latency.rs
+++ b/crates/cluster/control-plane/src/commit_latency.rs
@@ -1,4 +1,5 @@
 //! How long batches take to be committed, for the log and the metrics.
+use spanlead_job_scheduler::LatencyHistogram;
 use std::collections::VecDeque;
 
 /// A commit that takes at least this long is logged, milliseconds.
@@ -33,6 +34,7 @@
     mean_ms: f64,
     batches: u64,
     bytes: u64,
+    histogram: LatencyHistogram,
 }
 
 impl CommitLatency {
@@ -47,6 +49,7 @@
     pub fn record_commit(&mut self, sequence: u64, now_ms: u64) {
         while let Some(batch) = self.pending.pop_front_if(|batch| batch.sequence <= sequence) {
             let elapsed_ms = now_ms.saturating_sub(batch.proposed_at_ms);
+            self.histogram.record(elapsed_ms);
             self.mean_ms += SAMPLE_WEIGHT * (elapsed_ms as f64 - self.mean_ms);
             if elapsed_ms >= SLOW_COMMIT_MS {
                 let PendingBatch { sequence, bytes, .. } = batch;
@@ -55,6 +58,12 @@
         }
     }
 
+    /// How long the batches of the term took.
+    #[must_use]
+    pub fn histogram(&self) -> &LatencyHistogram {
+        &self.histogram
+    }
+
     /// The figures of the term so far.
     #[must_use]
     pub fn metrics(&self) -> BatchMetrics {
--- a/crates/cluster/control-plane/src/connection_pool.rs
+++ b/crates/cluster/control-plane/src/connection_pool.rs
@@ -4,9 +4,9 @@
 //! address with an idle connection uses that; otherwise it takes a free permit, or that of the
 //! connection that has been idle the longest, or waits for one.
 use async_std::channel::{Receiver, Sender, bounded};
-use async_std::future::timeout;
 use async_std::net::TcpStream;
 use spanlead_cluster_runtime::http::client;
+use spanlead_cluster_runtime::timeout::timeout;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -141,7 +141,7 @@
     /// A slot for a connection to this address, once there is one.
     pub async fn acquire(&self, address: &Arc<str>) -> ConnectionSlot {
         while let Some(IdleConnection { stream, permit, .. }) = self.take_idle(address) {
-            if client::is_idle(&stream).await {
+            if client::is_idle(&stream) {
                 return self.slot(address, Some(stream), permit);
             }
         }
--- a/crates/cluster/control-plane/src/lib.rs
+++ b/crates/cluster/control-plane/src/lib.rs
@@ -28,9 +28,9 @@
 pub mod unreadable_records;
 pub mod worker_client;
 pub mod worker_list;
+pub mod write_latency;
 
 use async_std::channel::{Receiver, Sender, unbounded};
-use async_std::future::timeout;
 use async_std::task;
 use input::Input;
 use input_queue::{InputReceiver, InputSender, input_queue};
@@ -40,7 +40,8 @@
 use spanlead_cluster_runtime::frame::Frame;
 use spanlead_cluster_runtime::peer_links::{LinkEvent, PeerLinks};
 use spanlead_cluster_runtime::settings::Settings;
-use spanlead_cluster_runtime::{metrics, peer_server, signals};
+use spanlead_cluster_runtime::timeout::timeout;
+use spanlead_cluster_runtime::{metrics, peer_server, program, signals};
 use std::sync::Arc;
 use std::time::Duration;
 use store::{Store, StoreError};
@@ -97,11 +98,9 @@
     let node = Node::start(settings, recovered, services);
     let terminating = inputs.clone();
     signals::on_terminate(move || terminating.send(Input::Terminate));
-    task::block_on(async move {
-        spawn_servers(settings, operators, &inputs);
-        task::spawn(forward_link_events(link_events, inputs));
-        drive(node, input_receiver, clock).await;
-    });
+    spawn_servers(settings, operators, &inputs);
+    task::spawn(forward_link_events(link_events, inputs));
+    program::run_to_end(drive(node, input_receiver, clock));
     Ok(())
 }
 
--- a/crates/cluster/control-plane/src/node/mod.rs
+++ b/crates/cluster/control-plane/src/node/mod.rs
@@ -13,6 +13,7 @@
 use crate::store_writer::StoreWriter;
 use crate::unreadable_records::{log_unreadable, unreadable_keys};
 use crate::worker_client::WorkerClient;
+use crate::write_latency::WriteLatency;
 use async_std::channel::Sender;
 use data_planes::DataPlanes;
 use primary::{PrimaryState, UnreadableKeys};
@@ -62,6 +63,7 @@
     /// Present exactly from the replica's activation to its deactivation.
     primary: Option<PrimaryState>,
     data_planes: DataPlanes,
+    own_disk: WriteLatency,
     shutdown: Shutdown,
 }
 
@@ -99,6 +101,7 @@
             replica,
             primary: None,
             data_planes: DataPlanes::default(),
+            own_disk: WriteLatency::default(),
             shutdown: Shutdown::new(settings.grace_ms()),
         }
     }
@@ -113,7 +116,10 @@
     pub fn handle(&mut self, input: Input) {
         match input {
             Input::Frame(frame, replies) => self.handle_frame(frame, replies),
-            Input::Written(token) => self.feed_replica(replication::Input::Written(token)),
+            Input::Written(token) => {
+                self.own_disk.record_written(token, self.clock.monotonic_ms());
+                self.feed_replica(replication::Input::Written(token));
+            }
             Input::PeerDisconnected(address) => {
                 self.feed_replica(replication::Input::PeerDown(address));
             }
@@ -192,7 +198,10 @@
                     let class = envelope.message.traffic_class();
                     self.links.send(&to, class, &Frame::Replication(envelope));
                 }
-                Output::Write { token, record } => self.store_writer.write(token, record),
+                Output::Write { token, record } => {
+                    self.own_disk.record_request(token, self.clock.monotonic_ms());
+                    self.store_writer.write(token, record);
+                }
                 Output::Event(event) => self.handle_replica_event(event),
             }
         }
--- a/crates/cluster/control-plane/src/node/operator_requests.rs
+++ b/crates/cluster/control-plane/src/node/operator_requests.rs
@@ -80,10 +80,9 @@
 
     fn metrics(&self) -> String {
         let primary = self.primary.as_ref();
-        metrics_text::render(
-            primary
-                .map(|primary| PrimaryMetrics { scheduler: &primary.scheduler, commits: &primary.commits }),
-        )
+        let primary = primary
+            .map(|primary| PrimaryMetrics { scheduler: &primary.scheduler, commits: &primary.commits });
+        metrics_text::render(self.own_disk.histogram(), primary)
     }
 
     fn reply_to_operator(&mut self, replies: Sender<OperatorReply>, reply: OperatorReply) {
--- a/crates/cluster/control-plane/src/worker_client/mod.rs
+++ b/crates/cluster/control-plane/src/worker_client/mod.rs
@@ -2,12 +2,12 @@
 mod messages;
 
 use crate::connection_pool::{ConnectionCount, ConnectionPool};
-use async_std::future::timeout;
 use async_std::task;
 use compact_str::CompactString;
 use http_types::{Body, Method, Request, Url, mime};
 use messages::{RequestContent, ResponseBody};
 use spanlead_cluster_runtime::http::client;
+use spanlead_cluster_runtime::timeout::timeout;
 use spanlead_job_scheduler::{WorkerCall, WorkerRequest, WorkerResponse};
 use std::time::Duration;
 
--- a/crates/cluster/control-plane/src/worker_list.rs
+++ b/crates/cluster/control-plane/src/worker_list.rs
@@ -1,11 +1,11 @@
 //! Reads the platform's list of workers.
-use async_std::future::timeout;
 use async_std::net::TcpStream;
 use compact_str::CompactString;
 use http_types::{Method, Request, Url, url};
 use quick_error::quick_error;
 use serde::Deserialize;
 use spanlead_cluster_runtime::http::client::{self, CallError};
+use spanlead_cluster_runtime::timeout::timeout;
 use spanlead_job_scheduler::{ListedWorker, ListedWorkerState};
 use std::time::Duration;
 
--- a/crates/cluster/data-plane/src/control_plane_client.rs
+++ b/crates/cluster/data-plane/src/control_plane_client.rs
@@ -2,7 +2,6 @@
 //! their way.
 use crate::pending_requests::{PendingRequests, RegisteredRequest};
 use async_std::channel::{Receiver, Sender, unbounded};
-use async_std::future::timeout;
 use async_std::task;
 use spanlead_cluster_config::DataPlaneConfiguration;
 use spanlead_cluster_runtime::clock::Clock;
@@ -10,6 +9,7 @@
 use spanlead_cluster_runtime::peer_links::{LinkEvent, PeerLinks};
 use spanlead_cluster_runtime::peer_server;
 use spanlead_cluster_runtime::settings::Settings;
+use spanlead_cluster_runtime::timeout::timeout;
 use spanlead_dissemination::{Disseminator, Item, Message, Output};
 use spanlead_replication::TrafficClass;
 use std::collections::BTreeSet;
--- a/crates/cluster/data-plane/src/lib.rs
+++ b/crates/cluster/data-plane/src/lib.rs
@@ -16,7 +16,7 @@
 use quick_error::quick_error;
 use spanlead_cluster_runtime::clock::Clock;
 use spanlead_cluster_runtime::settings::Settings;
-use spanlead_cluster_runtime::{metrics, signals, traffic};
+use spanlead_cluster_runtime::{metrics, program, signals, traffic};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -55,21 +55,22 @@
     let terminated = is_shutting_down.clone();
     signals::on_terminate(move || terminated.store(true, Ordering::Relaxed));
     let clock = Clock::start();
-    task::block_on(async {
-        let control_plane = ControlPlaneClient::start(settings, clock);
-        if let Some(endpoint) = settings.metrics_endpoint() {
-            metrics::spawn(endpoint, || async { traffic::metrics_text() });
-        }
-        let api = ClientApi::new(control_plane, is_shutting_down.clone(), clock);
-        task::spawn(client_api::serve(clients, api.clone(), max_client_connections(settings)));
-        if let Some(readiness) = settings.listen.readiness.clone() {
-            task::spawn(client_api::serve_readiness(readiness, api.clone()));
-        }
+    let control_plane = ControlPlaneClient::start(settings, clock);
+    if let Some(endpoint) = settings.metrics_endpoint() {
+        metrics::spawn(endpoint, || async { traffic::metrics_text() });
+    }
+    let api = ClientApi::new(control_plane, is_shutting_down.clone(), clock);
+    task::spawn(client_api::serve(clients, api.clone(), max_client_connections(settings)));
+    if let Some(readiness) = settings.listen.readiness.clone() {
+        task::spawn(client_api::serve_readiness(readiness, api.clone()));
+    }
+    let grace = Duration::from_millis(settings.grace_ms());
+    program::run_to_end(async move {
         while !is_shutting_down.load(Ordering::Relaxed) {
             task::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
         log::info!("shutdown requested");
-        drain(&api, Duration::from_millis(settings.grace_ms())).await;
+        drain(&api, grace).await;
     });
     Ok(())
 }
--- a/crates/cluster/job-scheduler/src/calls/outstanding.rs
+++ b/crates/cluster/job-scheduler/src/calls/outstanding.rs
@@ -22,6 +22,8 @@
     effects: Vec<Effect>,
     in_flight: usize,
     starts_in_flight: usize,
+    /// Starts that timed out and whose calls have no result yet.
+    starts_in_doubt: BTreeSet<RunId>,
     start_deadlines: BTreeSet<StartDeadline>,
 }
 
@@ -33,6 +35,7 @@
             effects: Vec::new(),
             in_flight: 0,
             starts_in_flight: 0,
+            starts_in_doubt: BTreeSet::new(),
             start_deadlines: BTreeSet::new(),
         }
     }
@@ -56,7 +59,15 @@
     /// The result of a call was returned.
     pub(crate) fn complete(&mut self, request: &WorkerRequest) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if matches!(request, WorkerRequest::Start { .. }) {
+        let WorkerRequest::Start { task, run, .. } = request else { return };
+        if !self.starts_in_doubt.remove(&RunId { task: *task, run: *run }) {
+            self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
+        }
+    }
+
+    /// A start whose call has no result yet timed out: it no longer counts as in flight.
+    pub(crate) fn doubt_start(&mut self, run: RunId) {
+        if self.starts_in_doubt.insert(run) {
             self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
         }
     }
@@ -70,10 +81,16 @@
         self.in_flight
     }
 
+    /// Starts that have not timed out.
     pub(crate) fn starts_in_flight(&self) -> usize {
         self.starts_in_flight
     }
 
+    /// Starts that timed out and whose calls go on.
+    pub(crate) fn starts_in_doubt(&self) -> usize {
+        self.starts_in_doubt.len()
+    }
+
     /// The largest number of calls in flight.
     pub(crate) fn max_concurrent(&self) -> usize {
         self.max_concurrent
--- a/crates/cluster/job-scheduler/src/commit.rs
+++ b/crates/cluster/job-scheduler/src/commit.rs
@@ -30,6 +30,8 @@
     dirty: BTreeSet<RecordKey>,
     staged: Vec<DeferredAction>,
     waiting: VecDeque<WaitingAction>,
+    /// How many of these actions are starts.
+    deferred_starts: usize,
 }
 
 impl CommitQueue {
@@ -45,6 +47,7 @@
 
     /// Defers an action until the changes made so far are committed.
     pub(crate) fn defer(&mut self, action: DeferredAction) {
+        self.deferred_starts += usize::from(matches!(action, DeferredAction::SendStart(_)));
         self.staged.push(action);
     }
 
@@ -56,11 +59,12 @@
     /// The next action that `committed_batch` releases.
     pub(crate) fn pop_committed(&mut self, committed_batch: u64) -> Option<DeferredAction> {
         let released = self.waiting.pop_front_if(|waiting| waiting.batch <= committed_batch)?;
+        self.deferred_starts -= usize::from(matches!(released.action, DeferredAction::SendStart(_)));
         Some(released.action)
     }
 
-    /// The number of deferred actions.
-    pub(crate) fn deferred_count(&self) -> usize {
-        self.staged.len() + self.waiting.len()
+    /// The number of starts that wait for their commit.
+    pub(crate) fn deferred_starts(&self) -> usize {
+        self.deferred_starts
     }
 }
--- a/crates/cluster/job-scheduler/src/lib.rs
+++ b/crates/cluster/job-scheduler/src/lib.rs
@@ -40,6 +40,7 @@
 mod events;
 mod ids;
 mod jobs;
+mod latency;
 mod metrics;
 mod occurrence_timer;
 mod pending;
@@ -56,7 +57,8 @@
 pub use config::{Admission, Now, QueuePolicy, SchedulerConfig};
 pub use ids::{JobId, QueueId, TaskId};
 pub use jobs::JobState;
-pub use metrics::{SchedulerCounts, SchedulerMetrics, TimeoutRange};
+pub use latency::{LatencyHistogram, StartLatencies};
+pub use metrics::{SchedulerCounts, SchedulerMetrics, StartBound, TimeoutRange};
 pub use protocol::{
     Effect, FinishedTask, ListedWorker, ListedWorkerState, RunningTask, WorkerCall, WorkerReport,
     WorkerRequest, WorkerResponse,
--- a/crates/cluster/job-scheduler/src/metrics.rs
+++ b/crates/cluster/job-scheduler/src/metrics.rs
@@ -1,4 +1,5 @@
 //! Counts of a scheduler, for the metrics of its process.
+use crate::latency::StartLatencies;
 
 /// What a scheduler holds at present.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -22,6 +23,17 @@
     pub longest_ms: u64,
 }
 
+/// What keeps a scheduler from deciding more starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartBound {
+    /// As many starts as allowed wait for their commit or response.
+    InFlight,
+    /// The throttle, since ticks come late.
+    Throttle,
+    /// As many calls as allowed are in flight.
+    Calls,
+}
+
 /// Counts of a term so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SchedulerMetrics {
@@ -39,4 +51,10 @@
     pub max_starts_per_tick: u64,
     /// The time-outs of calls at present; `None` before the first response.
     pub call_timeouts: Option<TimeoutRange>,
+    /// How long the stages of starts took.
+    pub start_latencies: StartLatencies,
+    /// How often a check found the first task in line held back for long by a bound on starts.
+    pub held_back_checks: u64,
+    /// The bound that the last such check named.
+    pub held_back_by: Option<StartBound>,
 }
--- a/crates/cluster/job-scheduler/src/pending.rs
+++ b/crates/cluster/job-scheduler/src/pending.rs
@@ -1,6 +1,7 @@
 //! Tasks and gangs that wait to be placed, in their order.
 use crate::ids::{JobId, TaskId};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 /// The position of a unit in the queue: by priority, then by the time that its job was due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -68,6 +69,11 @@
         self.needs_pass = true;
     }
 
+    /// The pass was ended by a bound on starts: it goes on as soon as that allows more.
+    pub(crate) fn resume_when_allowed(&mut self) {
+        self.needs_pass = true;
+    }
+
     /// Has the next tick start a pass.
     pub(crate) fn retry_at_next_tick(&mut self) {
         self.needs_pass_at_tick = true;
@@ -83,12 +89,15 @@
         self.needs_pass |= std::mem::take(&mut self.needs_pass_at_tick);
     }
 
-    /// The units for a pass, in order; `None` if no pass is due.
-    pub(crate) fn begin_pass(&mut self) -> Option<Vec<PendingUnit>> {
-        let is_due = std::mem::take(&mut self.needs_pass) && !self.units.is_empty();
-        is_due.then(|| {
-            self.units.iter().map(|(key, since)| PendingUnit { key: *key, since_ms: *since }).collect()
-        })
+    /// Whether a pass is due. It counts as begun then.
+    pub(crate) fn begin_pass(&mut self) -> bool {
+        std::mem::take(&mut self.needs_pass) && !self.units.is_empty()
+    }
+
+    /// The first unit from this key on, in order.
+    pub(crate) fn first_from(&self, from: Bound<PendingKey>) -> Option<PendingUnit> {
+        let (key, since_ms) = self.units.range((from, Bound::Unbounded)).next()?;
+        Some(PendingUnit { key: *key, since_ms: *since_ms })
     }
 
     /// Where the last pass stopped behind the units that do not fit; forgotten by this call.
--- a/crates/cluster/job-scheduler/src/scheduler/mod.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/mod.rs
@@ -179,6 +179,7 @@
         self.send_due_renewals(now.monotonic_ms);
         if now.monotonic_ms >= self.last_watch_ms + WATCH_INTERVAL_MS {
             self.last_watch_ms = now.monotonic_ms;
+            self.report_held_back_starts(now.monotonic_ms);
             self.watch_progress(now);
             self.fail_infeasible_jobs(now);
             self.forget_closed_jobs(now);
--- a/crates/cluster/job-scheduler/src/scheduler/placing.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/placing.rs
@@ -5,13 +5,20 @@
 use crate::config::Now;
 use crate::events::Event;
 use crate::ids::{RunId, TaskId, WorkerIndex};
+use crate::metrics::StartBound;
 use crate::pending::{PendingKey, PendingUnit};
 use crate::placement::{Placement, PlacementMisses, PlacementRequest};
 use crate::spec::Stage;
 use compact_str::CompactString;
+use std::ops::Bound;
 
 /// Starts that may be waiting for a commit or a response at once.
 const MAX_STARTS_IN_FLIGHT: usize = 160;
+/// Starts that timed out and whose calls still go on that do not count among these: workers that do
+/// not answer must not hold back starts on others.
+const MAX_STARTS_IN_DOUBT: usize = 160;
+/// How long the first unit in line waits before it counts as held back, milliseconds.
+const HELD_BACK_MS: u64 = 500;
 /// Units without capacity after which a pass goes on only behind them.
 const MAX_MISSES: usize = 200;
 /// Units without capacity that it then tries behind these.
@@ -29,53 +36,82 @@
     /// Places what waits, as far as there is capacity. Called after each input, so that starts
     /// share a batch with the events that they follow from.
     pub fn place_ready_tasks(&mut self, now: Now) {
-        let Some(units) = self.pending.begin_pass() else { return };
+        // While no start is allowed, a pass that is due stays due.
+        if self.available_starts() == 0 || !self.pending.begin_pass() {
+            return;
+        }
         let mut misses = PlacementMisses::default();
-        let Some(stopped_at) = self.place_units(now, &units, &mut misses, MAX_MISSES) else { return };
+        let stopped_at = self.place_units(now, Bound::Unbounded, &mut misses, MAX_MISSES);
+        let Some(stopped_at) = stopped_at else { return };
         // Units behind so many without capacity would never be tried: a few of them are in each
         // pass, in turn.
-        let resume_at = match self.pending.take_resume_point() {
-            Some(resume) => units.partition_point(|unit| unit.key < resume),
-            None => stopped_at,
-        };
-        let behind = &units[resume_at.max(stopped_at)..];
-        let behind = if behind.is_empty() { &units[stopped_at..] } else { behind };
+        let resume_at = self.pending.take_resume_point().unwrap_or(stopped_at).max(stopped_at);
+        let is_past_the_end = self.pending.first_from(Bound::Included(resume_at)).is_none();
+        let from = if is_past_the_end { stopped_at } else { resume_at };
         let max_misses = misses.count() + MAX_MISSES_BEHIND;
-        let stopped_at = self.place_units(now, behind, &mut misses, max_misses);
-        self.pending.set_resume_point(stopped_at.map(|position| behind[position].key));
+        let stopped_at = self.place_units(now, Bound::Included(from), &mut misses, max_misses);
+        self.pending.set_resume_point(stopped_at);
         self.pending.retry_at_next_tick();
     }
 
-    /// Places units in their order. Returns the position at which it stopped since too many had no
-    /// capacity.
+    /// Places units in their order. Returns where it stopped since too many had no capacity.
     fn place_units(
         &mut self,
         now: Now,
-        units: &[PendingUnit],
+        mut from: Bound<PendingKey>,
         misses: &mut PlacementMisses,
         max_misses: usize,
-    ) -> Option<usize> {
-        for (position, unit) in units.iter().enumerate() {
+    ) -> Option<PendingKey> {
+        while let Some(unit) = self.pending.first_from(from) {
             if misses.count() > max_misses {
-                return Some(position);
+                return Some(unit.key);
             }
             if self.available_starts() == 0 {
                 // What can't be started now waits here, where its priority counts.
-                self.pending.retry_at_next_tick();
+                self.pending.resume_when_allowed();
                 return None;
             }
-            self.place_unit(now, *unit, misses);
+            self.place_unit(now, unit, misses);
+            from = Bound::Excluded(unit.key);
         }
         None
     }
 
     /// Starts that may still be decided. Those on their way to the disk or to workers are bounded.
     fn available_starts(&self) -> usize {
-        let in_flight = self.commits.deferred_count() + self.calls.starts_in_flight();
-        MAX_STARTS_IN_FLIGHT
-            .saturating_sub(in_flight)
-            .min(self.throttle.remaining())
-            .min(self.calls.remaining())
+        self.remaining_in_flight().min(self.throttle.remaining()).min(self.calls.remaining())
+    }
+
+    fn remaining_in_flight(&self) -> usize {
+        let in_doubt = self.calls.starts_in_doubt().saturating_sub(MAX_STARTS_IN_DOUBT);
+        let in_flight = self.commits.deferred_starts() + self.calls.starts_in_flight() + in_doubt;
+        MAX_STARTS_IN_FLIGHT.saturating_sub(in_flight)
+    }
+
+    /// The bound that allows no start at present.
+    fn start_bound(&self) -> Option<StartBound> {
+        match (self.remaining_in_flight(), self.throttle.remaining(), self.calls.remaining()) {
+            (0, _, _) => Some(StartBound::InFlight),
+            (_, 0, _) => Some(StartBound::Throttle),
+            (_, _, 0) => Some(StartBound::Calls),
+            _ => None,
+        }
+    }
+
+    /// Tells operators if the first unit in line has waited for long and a bound on starts, rather
+    /// than a lack of capacity, holds it back.
+    pub(super) fn report_held_back_starts(&mut self, now_ms: u64) {
+        let Some(first) = self.pending.first_from(Bound::Unbounded) else { return };
+        let waited_ms = now_ms.saturating_sub(first.since_ms);
+        let Some(bound) = self.start_bound().filter(|_| waited_ms >= HELD_BACK_MS) else { return };
+        self.metrics.held_back_checks += 1;
+        self.metrics.held_back_by = Some(bound);
+        log::info!(
+            "starts held back bound={bound:?} waited_ms={waited_ms} pending={} in_flight={} in_doubt={}",
+            self.pending.len(),
+            self.commits.deferred_starts() + self.calls.starts_in_flight(),
+            self.calls.starts_in_doubt(),
+        );
     }
 
     /// Places a task or gang, if there is capacity.
@@ -106,7 +142,7 @@
             Placement::On(worker) => {
                 self.metrics.hedged_runs += u64::from(is_hedged);
                 self.assign(now, RunId { task: id, run }, worker);
-                self.complete_unit(&unit.key, 1);
+                self.complete_unit(now, unit, 1);
             }
             miss => {
                 misses.add(service, stage);
@@ -129,7 +165,7 @@
                 for (task, worker) in self.jobs.tasks_of_stage(first).zip(workers) {
                     self.assign(now, RunId { task, run }, worker);
                 }
-                self.complete_unit(&unit.key, starts);
+                self.complete_unit(now, unit, starts);
             }
             miss => {
                 misses.add(service, stage);
@@ -156,8 +192,10 @@
         self.commits.defer(DeferredAction::SendStart(run));
     }
 
-    fn complete_unit(&mut self, unit: &PendingKey, starts: usize) {
+    fn complete_unit(&mut self, now: Now, unit: PendingUnit, starts: usize) {
+        let waited_ms = now.monotonic_ms.saturating_sub(unit.since_ms);
+        self.metrics.start_latencies.placement.record(waited_ms);
         self.throttle.consume(starts);
-        self.pending.remove(unit);
+        self.pending.remove(&unit.key);
     }
 }
--- a/crates/cluster/job-scheduler/src/scheduler/starts.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/starts.rs
@@ -26,6 +26,7 @@
         if !is_open || run.is_stopping() {
             return self.end_run(now, id, RunEnd::Interrupted, "");
         }
+        self.metrics.start_latencies.commit.record(run.time_since_sent_ms(now.monotonic_ms));
         run.mark_sent(now.monotonic_ms);
         let worker = run.worker();
         let lease = &mut self.workers[worker].lease;
@@ -62,25 +63,28 @@
     /// says how long it took.
     pub(super) fn time_out_starts(&mut self, now: Now) {
         while let Some(id) = self.calls.pop_start_deadline(now.monotonic_ms) {
-            if let Some(worker) = self.jobs.run(id).map(|run| run.worker()) {
-                self.time_out_start(now, worker, id);
+            if let Some(worker) = self.jobs.run(id).map(|run| run.worker())
+                && self.time_out_start(now, worker, id)
+            {
+                self.calls.doubt_start(id);
             }
         }
     }
 
     /// A start has no response in time. A later report shows whether it was carried out; only if
-    /// not, it is stopped.
-    pub(super) fn time_out_start(&mut self, now: Now, worker: WorkerIndex, id: RunId) {
+    /// not, it is stopped. `false` if it no longer waited for one.
+    pub(super) fn time_out_start(&mut self, now: Now, worker: WorkerIndex, id: RunId) -> bool {
         let serial = self.renewals.serial();
-        let Some(run) = self.jobs.run_on_mut(id, worker) else { return };
+        let Some(run) = self.jobs.run_on_mut(id, worker) else { return false };
         if !run.time_out(serial) {
-            return;
+            return false;
         }
         log::debug!("start timed out {id} worker={}", self.workers[worker].id());
         self.timeouts.record_timeout();
         self.metrics.start_timeouts += 1;
         self.hedge(now.monotonic_ms, id.task);
         self.record_missed_call(now.monotonic_ms, worker);
+        true
     }
 
     pub(super) fn handle_start_response(
@@ -95,6 +99,7 @@
         match response {
             WorkerResponse::Acknowledged { .. } => {
                 let round_trip_ms = run.time_since_sent_ms(now.monotonic_ms);
+                self.metrics.start_latencies.response.record(round_trip_ms);
                 let had_timed_out = run.acknowledge_start(now.monotonic_ms, serial);
                 self.timeouts.record_round_trip(self.workers[worker].zone(), round_trip_ms);
                 if had_timed_out {
--- a/crates/cluster/job-scheduler/tests/overload.rs
+++ b/crates/cluster/job-scheduler/tests/overload.rs
@@ -1,7 +1,7 @@
 //! A scheduler with more to do than it can.
 mod common;
-use common::{CONFIG, ManualScheduler, ONE_TASK, starts};
-use spanlead_job_scheduler::{SchedulerConfig, WorkerCall, WorkerResponse};
+use common::{CONFIG, ManualScheduler, ONE_TASK, started_run, starts};
+use spanlead_job_scheduler::{SchedulerConfig, StartBound, WorkerCall, WorkerResponse};
 use std::collections::BTreeSet;
 
 /// A job of so many tasks of [`ONE_TASK`]'s kind.
@@ -36,7 +36,8 @@
     manual.submit(1, &tasks(500));
 
     let mut in_flight: Vec<WorkerCall> = Vec::new();
-    for _ in 0..20 {
+    // Until just before the first of them times out.
+    for _ in 0..14 {
         in_flight.extend(starts(&manual.advance(20)).into_iter().cloned());
         assert!(in_flight.len() <= MAX_STARTS, "{} at once", in_flight.len());
     }
@@ -48,6 +49,79 @@
     assert_eq!(starts(&manual.advance(20)).len(), MAX_STARTS / 2);
 }
 
+/// Workers that do not answer must not hold back starts on others.
+#[test]
+fn starts_that_timed_out_do_not_count_as_in_flight() {
+    const MAX_STARTS: usize = 160;
+    let mut manual = ManualScheduler::new(600);
+    manual.submit(1, &tasks(500));
+    assert_eq!(starts(&manual.commit()).len(), MAX_STARTS);
+
+    let calls = manual.advance(320);
+
+    assert_eq!(starts(&calls).len(), MAX_STARTS, "the calls of the first starts go on");
+    // Beyond as many again they do count.
+    for _ in 0..20 {
+        assert!(starts(&manual.advance(20)).is_empty(), "neither half was answered");
+    }
+}
+
+/// The acknowledgement of an end waits for its commit as a start does, but occupies no worker.
+#[test]
+fn ends_that_wait_for_their_commit_do_not_count_as_starts() {
+    const WORKERS: usize = 200;
+    let mut manual = ManualScheduler::new(WORKERS);
+    manual.submit(1, &tasks(WORKERS));
+    let mut runs = Vec::new();
+    while runs.len() < WORKERS {
+        let calls = manual.advance(20);
+        for start in starts(&calls) {
+            manual.acknowledge(start);
+            runs.push((start.worker_id.to_string(), started_run(start)));
+        }
+    }
+    for (worker, (task, run)) in &runs {
+        let renewal = manual.waiting_renewal(worker);
+        manual.report(&renewal, &[], &[(1, *task, *run, "done")]);
+    }
+
+    manual.submit(2, &tasks(100));
+
+    assert_eq!(starts(&manual.commit()).len(), 100, "200 ends wait for the same commit");
+}
+
+#[test]
+fn bound_that_holds_back_the_first_in_line_is_named() {
+    let mut manual = ManualScheduler::new(600);
+    manual.submit(1, &tasks(600));
+    manual.advance(300);
+    assert_eq!(manual.scheduler.metrics().held_back_by, None);
+
+    for _ in 0..10 {
+        manual.advance(100);
+    }
+
+    let metrics = manual.scheduler.metrics();
+    assert_eq!(metrics.held_back_by, Some(StartBound::InFlight));
+    assert!(metrics.held_back_checks > 0);
+}
+
+/// A lack of capacity is no bound on starts.
+#[test]
+fn nothing_is_held_back_while_workers_are_full() {
+    let mut manual = ManualScheduler::new(2);
+    manual.submit(1, &tasks(4));
+    for start in starts(&manual.commit()) {
+        manual.acknowledge(start);
+    }
+
+    for _ in 0..20 {
+        manual.advance(100);
+    }
+
+    assert_eq!(manual.scheduler.metrics().held_back_by, None);
+}
+
 #[test]
 fn task_that_fits_is_placed_behind_many_gangs_that_do_not() {
     let mut manual = ManualScheduler::new(3);
--- a/crates/cluster/runtime/src/frame_codec.rs
+++ b/crates/cluster/runtime/src/frame_codec.rs
@@ -1,6 +1,6 @@
 //! Frames as bytes: a length of four bytes, little endian, and the frame as `rkyv` serialises it.
 use crate::frame::Frame;
-use async_std::future::timeout;
+use crate::timeout::timeout;
 use async_std::io::{Read, ReadExt};
 use quick_error::quick_error;
 use rkyv::rancor;
--- a/crates/cluster/runtime/src/http/client.rs
+++ b/crates/cluster/runtime/src/http/client.rs
@@ -6,9 +6,10 @@
 use crate::socket::write_all_with_timeout;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
-use futures_lite::future::poll_once;
 use http_types::Request;
 use quick_error::quick_error;
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use std::time::Duration;
 
 /// The largest response that is read.
@@ -41,9 +42,13 @@
 }
 
 /// Whether an idle connection can carry a call: it is open, and nothing was received unasked.
-pub async fn is_idle(stream: &TcpStream) -> bool {
+///
+/// The socket is asked directly: to wait for it to become readable would register it with the event
+/// loop, at the cost of two system calls.
+#[must_use]
+pub fn is_idle(stream: &TcpStream) -> bool {
     let mut byte = [0];
-    poll_once(stream.peek(&mut byte)).await.is_none()
+    recv(stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) == Err(Errno::WOULDBLOCK)
 }
 
 /// The bytes of a request.
--- a/crates/cluster/runtime/src/http/server.rs
+++ b/crates/cluster/runtime/src/http/server.rs
@@ -1,7 +1,7 @@
 //! Serves HTTP connections with a `tide` application.
 use super::framing::{FramingError, MessageLimits, Progress, ReceivedRequest, RequestReader};
 use crate::socket::{listen, write_all_with_timeout};
-use async_std::future::timeout;
+use crate::timeout::timeout;
 use async_std::io::ReadExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
--- a/crates/cluster/runtime/src/lib.rs
+++ b/crates/cluster/runtime/src/lib.rs
@@ -7,7 +7,7 @@
 //! `spanlead-control-plane` and `spanlead-data-plane`, connect those to sockets, disks and clocks.
 //!
 //! - Between processes: [`frame`] and [`frame_codec`] (messages and their bytes), [`peer_links`]
-//!   (outgoing connections), [`peer_server`] (incoming ones), [`traffic`] (counters).
+//!   (outgoing connections), [`peer_server`] (incoming ones), [`traffic`] (counters), [`mod@timeout`].
 //! - To clients, operators, workers and the platform: [`http`].
 //! - The process itself: [`program`], [`settings`], [`signals`], [`clock`], [`logs`], [`metrics`].
 #![warn(missing_docs, unreachable_pub)]
@@ -24,4 +24,5 @@
 pub mod settings;
 pub mod signals;
 pub mod socket;
+pub mod timeout;
 pub mod traffic;
--- a/crates/cluster/runtime/src/peer_links.rs
+++ b/crates/cluster/runtime/src/peer_links.rs
@@ -2,9 +2,9 @@
 use crate::frame::Frame;
 use crate::frame_codec::read_frame;
 use crate::socket::write_all_with_timeout;
+use crate::timeout::timeout;
 use crate::traffic::encode_counted;
 use async_std::channel::{Receiver, Sender, bounded};
-use async_std::future::timeout;
 use async_std::io::BufReader;
 use async_std::net::TcpStream;
 use async_std::task;
--- a/crates/cluster/runtime/src/program.rs
+++ b/crates/cluster/runtime/src/program.rs
@@ -1,10 +1,13 @@
 //! The start that both programs share: arguments, settings, logs.
 use crate::logs;
 use crate::settings::Settings;
+use async_std::task;
 use clap::{CommandFactory, FromArgMatches, Parser};
 use log::LevelFilter;
 use std::fmt::Display;
+use std::future::Future;
 use std::process::ExitCode;
+use std::sync::mpsc::channel;
 
 /// The exit status of a process that can't run with its settings.
 const UNUSABLE_SETTINGS_STATUS: u8 = 2;
@@ -51,3 +54,16 @@
         }
     }
 }
+
+/// Runs a future to its end on the executor's threads, while this thread only waits.
+///
+/// A thread in `block_on` would take turns with the executor's in waiting for sockets, and each
+/// turn costs two switches between threads.
+pub fn run_to_end(future: impl Future<Output = ()> + Send + 'static) {
+    let (ended, end) = channel();
+    task::spawn(async move {
+        future.await;
+        let _ = ended.send(());
+    });
+    let _ = end.recv();
+}
--- a/crates/cluster/runtime/src/socket.rs
+++ b/crates/cluster/runtime/src/socket.rs
@@ -1,5 +1,5 @@
 //! Listening sockets with a long accept queue, and writes that are bounded by progress.
-use async_std::future::timeout;
+use crate::timeout::timeout;
 use async_std::io::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
 use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, socket_with, sockopt};
