Stop a start that timed out at once, and learn of ends sooner while renewals are lost

Ruled out by traces: capacity, calls.

Change: query and stop leave together where the time-outs have been right of late (gangs and speculative tasks excepted); the longest time-outs begin where most starts time out, as their loss alone says nothing of slowness; renewals wait 100 ms at workers, and 80 ms for the response, while more than 8 of 100 have none. Due renewals are read from a dense array, not from every worker. The line on starts held back names the unit at which the bound ended the pass: the first in line may lack capacity. Capacity of an orphan that is gone starts a pass (test fails without).

--- a/crates/cluster/job-scheduler/src/calls/timeouts.rs
+++ b/crates/cluster/job-scheduler/src/calls/timeouts.rs
@@ -27,9 +27,11 @@
 const MAX_EXTENSION: f64 = 6.0;
 /// How much of the extension is kept at each response.
 const EXTENSION_DECAY: f64 = 0.998;
-/// The share of starts that time out above which all time-outs are the longest: when many time out,
+/// The share of starts that time out above which all time-outs are the longest: when most time out,
 /// this process or the network is the cause rather than workers.
-const MAX_TIMEOUT_RATE: f64 = 0.25;
+const MAX_TIMEOUT_RATE: f64 = 0.6;
+/// Up to this extension time-outs count as right: none of the last few hundred was too short.
+const MAX_RELIABLE_EXTENSION: f64 = 1.2;
 /// The weight of one start in that share.
 const TIMEOUT_RATE_WEIGHT: f64 = 0.01;
 
@@ -89,6 +91,12 @@
         zone.map_or(MAX_TIMEOUT_MS, |round_trips| round_trips.timeout_ms(self.extension))
     }
 
+    /// Whether a start that times out was most likely not carried out, or not answered: of late
+    /// none was acknowledged after its time-out, and not most time out.
+    pub(crate) fn are_reliable(&self) -> bool {
+        self.extension <= MAX_RELIABLE_EXTENSION && self.timeout_rate <= MAX_TIMEOUT_RATE
+    }
+
     /// A start was acknowledged after so long.
     pub(crate) fn record_round_trip(&mut self, zone: &CompactString, ms: u64) {
         self.zones.entry(zone.clone()).or_default().add_sample(ms as f64);
--- a/crates/cluster/job-scheduler/src/pending.rs
+++ b/crates/cluster/job-scheduler/src/pending.rs
@@ -30,6 +30,8 @@
     resume_at: Option<PendingKey>,
     /// Something changed since the last pass that may let a unit be placed.
     needs_pass: bool,
+    /// The unit at which a bound on starts ended the last pass.
+    held_back: Option<PendingUnit>,
     /// A unit waits only for time to pass: the next tick starts a pass.
     needs_pass_at_tick: bool,
 }
@@ -69,9 +71,15 @@
         self.needs_pass = true;
     }
 
-    /// The pass was ended by a bound on starts: it goes on as soon as that allows more.
-    pub(crate) fn resume_when_allowed(&mut self) {
+    /// A bound on starts ended the pass at this unit: it goes on as soon as the bound allows more.
+    pub(crate) fn hold_back(&mut self, unit: PendingUnit) {
         self.needs_pass = true;
+        self.held_back = Some(unit);
+    }
+
+    /// The unit at which a bound on starts ended the last pass, if it still waits.
+    pub(crate) fn held_back(&self) -> Option<PendingUnit> {
+        self.held_back.filter(|unit| self.units.contains_key(&unit.key))
     }
 
     /// Has the next tick start a pass.
@@ -91,6 +99,7 @@
 
     /// Whether a pass is due. It counts as begun then.
     pub(crate) fn begin_pass(&mut self) -> bool {
+        self.held_back = None;
         std::mem::take(&mut self.needs_pass) && !self.units.is_empty()
     }
 
--- a/crates/cluster/job-scheduler/src/renewal.rs
+++ b/crates/cluster/job-scheduler/src/renewal.rs
@@ -4,10 +4,18 @@
 //! nothing does, a renewal waits too while there are few workers; many are asked one after the
 //! other, so that neither connections nor processor time grow with workers that do nothing.
 use crate::ids::WorkerIndex;
+use crate::smoothing::moving_average;
 use crate::workers::Worker;
 
 /// How long a renewal waits for an end where something runs, milliseconds.
 const BUSY_WAIT_MS: u64 = 600;
+/// The same while many renewals have no response: what ends is then learned late, by a whole
+/// renewal, unless that is short.
+const LOSSY_BUSY_WAIT_MS: u64 = 100;
+/// The share of renewals without response from which on they count as many.
+const LOSSY_RATE: f64 = 0.08;
+/// The weight of one renewal in that share.
+const LOSS_WEIGHT: f64 = 0.02;
 /// The longest time that workers wait, milliseconds (the platform's bound).
 const MAX_WAIT_MS: u64 = 2_000;
 /// How long a renewal waits where nothing runs, milliseconds.
@@ -32,6 +40,10 @@
 /// With many workers, due renewals are looked for more rarely: a millisecond for each so many
 /// workers.
 const WORKERS_PER_CHECK_MS: u64 = 500;
+/// How often the pace is computed anew, milliseconds: that looks at every worker.
+const PACE_INTERVAL_MS: u64 = 100;
+/// The due time of a worker to which a renewal is in flight.
+const NEVER_MS: u64 = u64::MAX;
 
 /// What decides how often a worker is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,11 +79,13 @@
 }
 
 impl RenewalPace {
-    /// The pace for so many workers where something runs, and where nothing does.
-    pub(crate) fn new(busy_workers: u64, idle_workers: u64) -> Self {
+    /// The pace for so many workers where something runs, and where nothing does. `is_lossy`: many
+    /// renewals have no response.
+    pub(crate) fn new(busy_workers: u64, idle_workers: u64, is_lossy: bool) -> Self {
         let interval_ms = |workers: u64, per_second: u64| workers * 1_000 / per_second;
         let busy_interval_ms = interval_ms(busy_workers, MAX_BUSY_RENEWALS_PER_S);
-        let busy_wait_ms = busy_interval_ms.clamp(BUSY_WAIT_MS, MAX_WAIT_MS);
+        let min_busy_wait_ms = if is_lossy { LOSSY_BUSY_WAIT_MS } else { BUSY_WAIT_MS };
+        let busy_wait_ms = busy_interval_ms.clamp(min_busy_wait_ms, MAX_WAIT_MS);
         let idle_interval_ms = interval_ms(idle_workers, MAX_IDLE_RENEWALS_PER_S);
         if idle_interval_ms <= IDLE_WAIT_MS {
             return RenewalPace { busy_wait_ms, idle_wait_ms: IDLE_WAIT_MS, idle_pause_ms: 0 };
@@ -117,11 +131,19 @@
 }
 
 /// The schedule of renewals, and the serials that order requests and responses.
+///
+/// `due_at_ms` has by worker what its lease says, so that a check reads these few bytes rather than
+/// every worker. Invariant: whatever changes a lease's renewal goes through
+/// `Scheduler::change_renewal`, which keeps them equal.
 #[derive(Debug, Default)]
 pub(crate) struct RenewalSchedule {
+    due_at_ms: Vec<u64>,
     /// The serial of the last request, or acknowledgement of a start or stop.
     serial: u64,
     pace: RenewalPace,
+    /// The smoothed share of renewals without response, of workers that respond otherwise.
+    loss_rate: f64,
+    paced_at_ms: u64,
     last_check_ms: u64,
     /// The worker that the next check begins with.
     first_worker: Option<WorkerIndex>,
@@ -147,6 +169,48 @@
         true
     }
 
+    /// Sets when a worker's renewal is due; `None` while one is in flight.
+    pub(crate) fn set_due(&mut self, worker: WorkerIndex, due_at_ms: Option<u64>) {
+        let index = worker.0 as usize;
+        if index >= self.due_at_ms.len() {
+            self.due_at_ms.resize(index + 1, NEVER_MS);
+        }
+        self.due_at_ms[index] = due_at_ms.unwrap_or(NEVER_MS);
+    }
+
+    /// The workers whose renewal is due, from the one on that the check begins with.
+    pub(crate) fn due_workers(&self, now_ms: u64) -> Vec<WorkerIndex> {
+        let first = self.first_worker().0 as usize;
+        let (before, from_first) = self.due_at_ms.split_at(first.min(self.due_at_ms.len()));
+        let in_turn = (first..).zip(from_first).chain((0..).zip(before));
+        let due = in_turn.filter(|(_, due_at_ms)| **due_at_ms <= now_ms);
+        due.map(|(index, _)| WorkerIndex(index as u32)).collect()
+    }
+
+    /// Whether the pace is to be computed anew; the next time is counted from here.
+    pub(crate) fn begin_pacing(&mut self, now_ms: u64) -> bool {
+        if self.paced_at_ms > 0 && now_ms < self.paced_at_ms + PACE_INTERVAL_MS {
+            return false;
+        }
+        self.paced_at_ms = now_ms;
+        true
+    }
+
+    /// A renewal of a worker that responds otherwise had a response, or none.
+    pub(crate) fn record_result(&mut self, has_response: bool) {
+        let loss = f64::from(u8::from(!has_response));
+        self.loss_rate = moving_average(self.loss_rate, loss, LOSS_WEIGHT);
+    }
+
+    /// Whether many renewals have no response.
+    pub(crate) fn is_lossy(&self) -> bool {
+        self.loss_rate > LOSSY_RATE
+    }
+
+    pub(crate) fn pace(&self) -> RenewalPace {
+        self.pace
+    }
+
     pub(crate) fn set_pace(&mut self, pace: RenewalPace) {
         self.pace = pace;
     }
--- a/crates/cluster/job-scheduler/src/scheduler/commits.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/commits.rs
@@ -29,7 +29,7 @@
             match action {
                 DeferredAction::SendStart(run) => self.send_start(now, run),
                 DeferredAction::AcknowledgeEnds { worker, up_to } => {
-                    self.workers[worker].lease.acknowledge_ends(up_to, now.monotonic_ms);
+                    self.change_renewal(worker, |lease| lease.acknowledge_ends(up_to, now.monotonic_ms));
                 }
             }
         }
--- a/crates/cluster/job-scheduler/src/scheduler/placing.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/placing.rs
@@ -68,7 +68,7 @@
             }
             if self.available_starts() == 0 {
                 // What can't be started now waits here, where its priority counts.
-                self.pending.resume_when_allowed();
+                self.pending.hold_back(unit);
                 return None;
             }
             self.place_unit(now, unit, misses);
@@ -98,10 +98,10 @@
         }
     }
 
-    /// Tells operators if the first unit in line has waited for long and a bound on starts, rather
-    /// than a lack of capacity, holds it back.
+    /// Tells operators if a unit has waited for long and a bound on starts, rather than a lack of
+    /// capacity, holds it back.
     pub(super) fn report_held_back_starts(&mut self, now_ms: u64) {
-        let Some(first) = self.pending.first_from(Bound::Unbounded) else { return };
+        let Some(first) = self.pending.held_back() else { return };
         let waited_ms = now_ms.saturating_sub(first.since_ms);
         let Some(bound) = self.start_bound().filter(|_| waited_ms >= HELD_BACK_MS) else { return };
         self.metrics.held_back_checks += 1;
--- a/crates/cluster/job-scheduler/src/scheduler/recovery.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/recovery.rs
@@ -58,7 +58,7 @@
             return index;
         }
         let clock = WorkerClock::unknown(now.monotonic_ms, self.config.max_lease_ms);
-        self.workers.add(Worker::new(id, clock, now.monotonic_ms))
+        self.add_worker(Worker::new(id, clock, now.monotonic_ms))
     }
 
     fn resume_job(&mut self, now: Now, id: JobId) {
--- a/crates/cluster/job-scheduler/src/scheduler/renewals.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/renewals.rs
@@ -4,9 +4,12 @@
 use crate::ids::WorkerIndex;
 use crate::protocol::{WorkerRequest, WorkerResponse};
 use crate::renewal::{RenewalBudget, RenewalClass, RenewalPace};
+use crate::workers::WorkerLease;
 
 /// How long a renewal may take beyond the time that it waits at the worker, milliseconds.
 pub(super) const RENEWAL_TIMEOUT_MS: u64 = 400;
+/// The same while many renewals have no response, milliseconds.
+const LOSSY_RENEWAL_TIMEOUT_MS: u64 = 80;
 /// The lease on all that runs on a worker, milliseconds: what is cut off is known to be over after
 /// this.
 const LEASE_MS: u64 = 4_000;
@@ -19,15 +22,18 @@
         if !self.renewals.begin_check(now_ms, self.workers.len()) {
             return;
         }
-        let pace = self.renewal_pace();
-        self.renewals.set_pace(pace);
+        if self.renewals.begin_pacing(now_ms) {
+            let pace = self.renewal_pace();
+            self.renewals.set_pace(pace);
+        }
+        let pace = self.renewals.pace();
         let budget = RenewalBudget::new(self.calls.max_concurrent());
-        let (worker_count, first) = (self.workers.len() as u32, self.renewals.first_worker());
         let mut first_skipped = None;
-        for step in 0..worker_count {
-            let index = WorkerIndex((first.0 + step) % worker_count);
+        for index in self.renewals.due_workers(now_ms) {
             let worker = &self.workers[index];
-            if !worker.lease.is_renewal_due(now_ms) || !worker.is_callable() {
+            if !worker.is_callable() {
+                // Its due time is set again when the platform lists it.
+                self.renewals.set_due(index, None);
                 continue;
             }
             let class = RenewalClass::of(worker);
@@ -40,20 +46,33 @@
         self.renewals.finish_check(first_skipped);
     }
 
+    /// Changes a worker's renewal; the only way to do so, as the schedule must know when it is due.
+    pub(super) fn change_renewal<R>(
+        &mut self,
+        index: WorkerIndex,
+        change: impl FnOnce(&mut WorkerLease) -> R,
+    ) -> R {
+        let lease = &mut self.workers[index].lease;
+        let result = change(lease);
+        self.renewals.set_due(index, lease.next_renewal_at_ms());
+        result
+    }
+
     /// The pace for the workers as they are.
     fn renewal_pace(&self) -> RenewalPace {
         let (mut busy, mut idle) = (0, 0);
         for worker in self.workers.iter().filter(|worker| worker.is_callable()) {
             if worker.allocation.is_empty() { idle += 1 } else { busy += 1 }
         }
-        RenewalPace::new(busy, idle)
+        RenewalPace::new(busy, idle, self.renewals.is_lossy())
     }
 
     fn send_renewal(&mut self, now_ms: u64, index: WorkerIndex, wait_ms: u64) {
         let request = self.renewal_request(now_ms, index, wait_ms);
-        let worker = &mut self.workers[index];
-        worker.lease.mark_renewal_sent(self.renewals.serial());
-        self.calls.send(worker, request, wait_ms + RENEWAL_TIMEOUT_MS);
+        let serial = self.renewals.serial();
+        self.change_renewal(index, |lease| lease.mark_renewal_sent(serial));
+        let timeout_ms = if self.renewals.is_lossy() { LOSSY_RENEWAL_TIMEOUT_MS } else { RENEWAL_TIMEOUT_MS };
+        self.calls.send(&self.workers[index], request, wait_ms + timeout_ms);
     }
 
     /// Asks a worker what runs there, beside its scheduled renewals and without waiting for an end.
@@ -81,7 +100,7 @@
     /// Has a worker on which something was started asked now rather than when its idle time is
     /// over.
     pub(super) fn renew_soon(&mut self, now_ms: u64, index: WorkerIndex) {
-        self.workers[index].lease.renew_soon(now_ms);
+        self.change_renewal(index, |lease| lease.renew_soon(now_ms));
     }
 
     /// A renewal or query has its result.
@@ -92,15 +111,18 @@
         serial: u64,
         response: &WorkerResponse,
     ) {
-        let worker = &mut self.workers[index];
-        if worker.lease.complete_renewal(serial) {
+        if self.change_renewal(index, |lease| lease.complete_renewal(serial)) {
+            let worker = &self.workers[index];
+            if worker.is_reachable() {
+                self.renewals.record_result(*response != WorkerResponse::NoResponse);
+            }
             let pause_ms = match response {
                 WorkerResponse::Report(_) if worker.allocation.is_empty() => self.renewals.idle_pause_ms(),
                 WorkerResponse::Report(_) => 0,
                 WorkerResponse::NoResponse if worker.is_reachable() => 0,
                 _ => RENEWAL_RETRY_MS,
             };
-            worker.lease.schedule_renewal(now.monotonic_ms + pause_ms);
+            self.change_renewal(index, |lease| lease.schedule_renewal(now.monotonic_ms + pause_ms));
         }
         if let WorkerResponse::Report(report) = response {
             self.handle_report(now, index, serial, report);
--- a/crates/cluster/job-scheduler/src/scheduler/reports.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/reports.rs
@@ -140,15 +140,16 @@
             let stop = WorkerRequest::Stop { task: orphan.run.task, run: orphan.run.run };
             self.calls.send(worker, stop, RENEWAL_TIMEOUT_MS);
         }
-        worker.allocation.set_orphans(orphans);
+        if worker.allocation.set_orphans(orphans) {
+            self.pending.capacity_changed();
+        }
     }
 
     /// Has the ends received so far acknowledged once their records are durable.
     fn acknowledge_ends(&mut self, now: Now, worker: WorkerIndex) {
-        let lease = &mut self.workers[worker].lease;
-        if lease.has_unacknowledged_ends() {
-            lease.await_commit(now.monotonic_ms, COMMIT_TIMEOUT_MS);
-            let up_to = lease.received_end();
+        if self.workers[worker].lease.has_unacknowledged_ends() {
+            self.change_renewal(worker, |lease| lease.await_commit(now.monotonic_ms, COMMIT_TIMEOUT_MS));
+            let up_to = self.workers[worker].lease.received_end();
             self.commits.defer(DeferredAction::AcknowledgeEnds { worker, up_to });
         }
     }
--- a/crates/cluster/job-scheduler/src/scheduler/starts.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/starts.rs
@@ -5,6 +5,7 @@
 use crate::events::RunEnd;
 use crate::ids::{RunId, TaskId, WorkerIndex};
 use crate::protocol::{WorkerRequest, WorkerResponse};
+use crate::spec::Stage;
 use compact_str::CompactString;
 
 /// How far ahead of the worker's clock a start may be carried out, milliseconds.
@@ -71,8 +72,12 @@
         }
     }
 
-    /// A start has no response in time. A later report shows whether it was carried out; only if
-    /// not, it is stopped. `false` if it no longer waited for one.
+    /// A start has no response in time. `false` if it no longer waited for one.
+    ///
+    /// The worker is queried. If the time-out is most likely right, the run is stopped at the same
+    /// time, so that nothing waits for the query; otherwise only if the query does not show it. The
+    /// task starts again when a report that was requested after the acknowledged stop does not list
+    /// the run ([proof](../../../../docs/design/unanswered-starts.md)).
     pub(super) fn time_out_start(&mut self, now: Now, worker: WorkerIndex, id: RunId) -> bool {
         let serial = self.renewals.serial();
         let Some(run) = self.jobs.run_on_mut(id, worker) else { return false };
@@ -84,6 +89,9 @@
         self.metrics.start_timeouts += 1;
         self.hedge(now.monotonic_ms, id.task);
         self.record_missed_call(now.monotonic_ms, worker);
+        if self.timeouts.are_reliable() && self.jobs.stage(id.task).is_some_and(is_cheap_to_restart) {
+            self.stop_run(now.monotonic_ms, id);
+        }
         true
     }
 
@@ -120,6 +128,12 @@
     }
 }
 
+/// Whether a run that was only just started may be stopped without much loss: not a gang, which
+/// would end as a whole, and not one beside which the task may start elsewhere.
+fn is_cheap_to_restart(stage: &Stage) -> bool {
+    !stage.gang && !stage.speculative
+}
+
 /// How long a worker that rejected a start is ejected, milliseconds. Other conflicts concern only
 /// that start.
 fn ejection_after_rejection_ms(status: u16, reason: &str) -> u64 {
--- a/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
@@ -29,6 +29,10 @@
                 self.lose_worker(now, index);
             }
         }
+        for index in &changed {
+            // One that could not be called without an address may be now.
+            self.change_renewal(*index, |_| ());
+        }
         if !changed.is_empty() {
             self.placer.update_workers(&self.workers, &changed);
             self.pending.capacity_changed();
@@ -43,7 +47,13 @@
         } else {
             WorkerClock::without_lease()
         };
-        self.workers.add(Worker::new(&entry.id, clock, now.monotonic_ms))
+        self.add_worker(Worker::new(&entry.id, clock, now.monotonic_ms))
+    }
+
+    pub(super) fn add_worker(&mut self, worker: Worker) -> WorkerIndex {
+        let index = self.workers.add(worker);
+        self.change_renewal(index, |_| ());
+        index
     }
 
     /// This incarnation of a worker no longer exists: all that ran there is over.
@@ -68,7 +78,9 @@
             if has_contact || worker.is_gone() || !worker.lease.is_expired(now.monotonic_ms) {
                 continue;
             }
-            worker.allocation.clear_orphans();
+            if worker.allocation.clear_orphans() {
+                self.pending.capacity_changed();
+            }
             self.end_all_runs_on(now, index);
         }
     }
--- a/crates/cluster/job-scheduler/src/workers/allocation.rs
+++ b/crates/cluster/job-scheduler/src/workers/allocation.rs
@@ -49,12 +49,17 @@
         }
     }
 
-    pub(crate) fn set_orphans(&mut self, orphans: Vec<Orphan>) {
+    /// Replaces the orphans by those that are still there; whether any is gone.
+    pub(crate) fn set_orphans(&mut self, orphans: Vec<Orphan>) -> bool {
+        let is_there = |gone: &Orphan| orphans.iter().any(|orphan| orphan.run == gone.run);
+        let any_gone = !self.orphans.iter().all(is_there);
         self.orphans = orphans;
+        any_gone
     }
 
-    pub(crate) fn clear_orphans(&mut self) {
-        self.orphans.clear();
+    /// All orphans are gone; whether there were any.
+    pub(crate) fn clear_orphans(&mut self) -> bool {
+        self.set_orphans(Vec::new())
     }
 
     /// How many runs of a task's stage and occurrence are here.
--- a/crates/cluster/job-scheduler/src/workers/lease.rs
+++ b/crates/cluster/job-scheduler/src/workers/lease.rs
@@ -48,8 +48,9 @@
 
     // Renewal.
 
-    pub(crate) fn is_renewal_due(&self, now_ms: u64) -> bool {
-        self.renewal != RenewalState::InFlight && now_ms >= self.next_renewal_at_ms
+    /// When the next renewal is to be sent; `None` while one is in flight.
+    pub(crate) fn next_renewal_at_ms(&self) -> Option<u64> {
+        (self.renewal != RenewalState::InFlight).then_some(self.next_renewal_at_ms)
     }
 
     pub(crate) fn mark_renewal_sent(&mut self, serial: u64) {
--- a/crates/cluster/job-scheduler/src/workers/mod.rs
+++ b/crates/cluster/job-scheduler/src/workers/mod.rs
@@ -7,6 +7,7 @@
 
 pub(crate) use allocation::Orphan;
 pub(crate) use clock::WorkerClock;
+pub(crate) use lease::WorkerLease;
 pub(crate) use worker::{ListingState, Worker};
 
 use crate::ids::WorkerIndex;
--- a/crates/cluster/job-scheduler/src/workers/worker.rs
+++ b/crates/cluster/job-scheduler/src/workers/worker.rs
@@ -155,7 +155,7 @@
     pub(crate) fn mark_gone(&mut self) {
         self.listing = ListingState::Gone;
         self.is_fenced = true;
-        self.allocation.clear_orphans();
+        let _ = self.allocation.clear_orphans();
     }
 
     // Whether it responds.
--- a/crates/cluster/job-scheduler/tests/placement.rs
+++ b/crates/cluster/job-scheduler/tests/placement.rs
@@ -104,3 +104,24 @@
     assert!(calls.iter().any(is_stop_of_unknown), "{calls:?}");
     assert!(starts(&calls).is_empty(), "its capacity is in use");
 }
+
+/// A run that no record names occupies capacity until it is gone; then what waits is placed without
+/// any other event.
+#[test]
+fn capacity_of_an_orphan_that_is_gone_is_used_at_once() {
+    let mut manual = ManualScheduler::new(1);
+    manual.submit(1, ONE_TASK);
+    let start = single_start(&manual.commit());
+    manual.acknowledge(&start);
+    let (task, run) = started_run(&start);
+    let orphan = (task, run + 8);
+    let renewal = manual.waiting_renewal("i-0");
+    manual.report(&renewal, &[orphan], &[(1, task, run, "done")]);
+    manual.submit(2, ONE_TASK);
+    assert!(starts(&manual.advance(20)).is_empty(), "the orphan occupies the worker");
+
+    let renewal = manual.waiting_renewal("i-0");
+    manual.report(&renewal, &[], &[]);
+
+    assert_eq!(started_run(&single_start(&manual.advance(20))).0, first_task(2));
+}
