Try what did not fit again in paced full passes, not after every end

Ruled out: the walk itself, and placements that succeed.

Change: a unit is tried when it is added; what did not fit is tried again in a full pass, at the earliest 1 ms later for each unit that did not fit in the last, 20 ms at most. What did not fit is remembered between full passes, and a unit of a lower priority than such a one waits for the next, so that free capacity goes to the higher first. A pass that the bound on starts interrupts goes on where it was.

--- a/crates/cluster/job-scheduler/src/placement/misses.rs
+++ b/crates/cluster/job-scheduler/src/placement/misses.rs
@@ -1,5 +1,5 @@
-//! What did not fit during a pass over the pending queue: whatever demands as much need not be
-//! tried again.
+//! What did not fit since the last full pass over the pending queue began: whatever demands as much
+//! need not be tried again before the next.
 use crate::resources::Resources;
 use crate::spec::Stage;
 use compact_str::CompactString;
@@ -12,11 +12,13 @@
     demand: Resources,
 }
 
-/// The units of a pass that did not fit.
+/// The units that did not fit.
 #[derive(Debug, Default)]
 pub(crate) struct PlacementMisses {
     misses: Vec<Miss>,
     count: usize,
+    /// The highest priority, which is the lowest number, of the units that did not fit.
+    highest_priority: Option<u8>,
 }
 
 impl PlacementMisses {
@@ -25,6 +27,11 @@
         self.count
     }
 
+    /// The highest priority of the units that did not fit, 0 before 1.
+    pub(crate) fn highest_priority(&self) -> Option<u8> {
+        self.highest_priority
+    }
+
     /// Whether a task that demands no more than this one did not fit.
     pub(crate) fn cover(&self, service: &str, stage: &Stage) -> bool {
         let demand = Resources::demand_of(stage);
@@ -34,8 +41,9 @@
         has_no_affinity(stage) && self.misses.iter().any(is_covering)
     }
 
-    pub(crate) fn add(&mut self, service: &CompactString, stage: &Stage) {
+    pub(crate) fn add(&mut self, priority: u8, service: &CompactString, stage: &Stage) {
         self.count += 1;
+        self.highest_priority = Some(self.highest_priority.map_or(priority, |highest| highest.min(priority)));
         if !stage.gang && has_no_affinity(stage) {
             self.misses.push(Miss {
                 service: service.clone(),
--- a/crates/cluster/job-scheduler/src/scheduler/mod.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/mod.rs
@@ -31,7 +31,7 @@
 use crate::metrics::{SchedulerCounts, SchedulerMetrics};
 use crate::occurrence_timer::OccurrenceTimer;
 use crate::pending::PendingQueue;
-use crate::placement::Placer;
+use crate::placement::{PlacementMisses, Placer};
 use crate::record::{JobOutcome, JobRecord};
 use crate::renewal::RenewalSchedule;
 use crate::spec::JobSpec;
@@ -52,6 +52,7 @@
     jobs: JobTable,
     occurrence_timer: OccurrenceTimer,
     pending: PendingQueue,
+    misses: PlacementMisses,
     placer: Placer,
     estimates: RuntimeEstimates,
     workers: WorkerRegistry,
@@ -80,6 +81,7 @@
             jobs: JobTable::default(),
             occurrence_timer: OccurrenceTimer::default(),
             pending: PendingQueue::default(),
+            misses: PlacementMisses::default(),
             placer: Placer::new(config.remote_data_slowdown, seed),
             estimates: RuntimeEstimates::default(),
             workers: WorkerRegistry::default(),
@@ -179,6 +181,8 @@
         self.send_due_renewals(now.monotonic_ms);
         if now.monotonic_ms >= self.last_watch_ms + WATCH_INTERVAL_MS {
             self.last_watch_ms = now.monotonic_ms;
+            // Ejections end without an event.
+            self.pending.capacity_changed();
             self.report_held_back_starts(now.monotonic_ms);
             self.watch_progress(now);
             self.fail_infeasible_jobs(now);
--- a/crates/cluster/job-scheduler/src/scheduler/placing.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/placing.rs
@@ -6,7 +6,7 @@
 use crate::events::Event;
 use crate::ids::{RunId, TaskId, WorkerIndex};
 use crate::metrics::StartBound;
-use crate::pending::{PendingKey, PendingUnit};
+use crate::pending::{Pass, PendingKey, PendingUnit};
 use crate::placement::{Placement, PlacementMisses, PlacementRequest};
 use crate::spec::Stage;
 use compact_str::CompactString;
@@ -37,21 +37,60 @@
     /// share a batch with the events that they follow from.
     pub fn place_ready_tasks(&mut self, now: Now) {
         // While no start is allowed, a pass that is due stays due.
-        if self.available_starts() == 0 || !self.pending.begin_pass() {
+        if self.available_starts() == 0 {
             return;
         }
-        let mut misses = PlacementMisses::default();
-        let stopped_at = self.place_units(now, Bound::Unbounded, &mut misses, MAX_MISSES);
-        let Some(stopped_at) = stopped_at else { return };
-        // Units behind so many without capacity would never be tried: a few of them are in each
-        // pass, in turn.
-        let resume_at = self.pending.take_resume_point().unwrap_or(stopped_at).max(stopped_at);
-        let is_past_the_end = self.pending.first_from(Bound::Included(resume_at)).is_none();
-        let from = if is_past_the_end { stopped_at } else { resume_at };
-        let max_misses = misses.count() + MAX_MISSES_BEHIND;
-        let stopped_at = self.place_units(now, Bound::Included(from), &mut misses, max_misses);
-        self.pending.set_resume_point(stopped_at);
-        self.pending.retry_at_next_tick();
+        let Some(pass) = self.pending.begin_pass(now.monotonic_ms, self.misses.count()) else { return };
+        let mut misses = std::mem::take(&mut self.misses);
+        match pass {
+            Pass::Untried => self.place_untried_units(now, &mut misses, None),
+            Pass::Full => {
+                misses = PlacementMisses::default();
+                self.place_all_units(now, Bound::Unbounded, &mut misses);
+            }
+            Pass::Continued(key) => {
+                self.place_untried_units(now, &mut misses, Some(key));
+                self.place_all_units(now, Bound::Included(key), &mut misses);
+            }
+        }
+        self.misses = misses;
+    }
+
+    /// Places units that were just added, unless a unit of a higher priority waits for capacity:
+    /// what is free by now is for that first. Those from `end` on are left to the full pass that
+    /// goes on there.
+    fn place_untried_units(&mut self, now: Now, misses: &mut PlacementMisses, end: Option<PendingKey>) {
+        while let Some(unit) = self.pending.first_untried() {
+            if end.is_some_and(|end| unit.key >= end) {
+                return;
+            }
+            if self.available_starts() == 0 {
+                return self.pending.hold_back(unit, end);
+            }
+            self.pending.mark_tried(&unit.key);
+            let is_behind = misses.highest_priority().is_some_and(|priority| priority < unit.key.priority);
+            if is_behind || misses.count() > MAX_MISSES {
+                // Its turn comes in the next full pass.
+                self.pending.capacity_changed();
+            } else {
+                self.place_unit(now, unit, misses);
+            }
+        }
+    }
+
+    /// Places all units from a key on.
+    fn place_all_units(&mut self, now: Now, from: Bound<PendingKey>, misses: &mut PlacementMisses) {
+        if let Some(stopped_at) = self.place_units(now, from, misses, MAX_MISSES) {
+            // Units behind so many without capacity would never be tried: a few of them are in each
+            // pass, in turn.
+            let resume_at = self.pending.take_resume_point().unwrap_or(stopped_at).max(stopped_at);
+            let is_past_the_end = self.pending.first_from(Bound::Included(resume_at)).is_none();
+            let behind = if is_past_the_end { stopped_at } else { resume_at };
+            let max_misses = misses.count() + MAX_MISSES_BEHIND;
+            let stopped_at = self.place_units(now, Bound::Included(behind), misses, max_misses);
+            self.pending.set_resume_point(stopped_at);
+            self.pending.retry_at_next_tick();
+        }
     }
 
     /// Places units in their order. Returns where it stopped since too many had no capacity.
@@ -68,9 +107,10 @@
             }
             if self.available_starts() == 0 {
                 // What can't be started now waits here, where its priority counts.
-                self.pending.hold_back(unit);
+                self.pending.hold_back(unit, Some(unit.key));
                 return None;
             }
+            self.pending.mark_tried(&unit.key);
             self.place_unit(now, unit, misses);
             from = Bound::Excluded(unit.key);
         }
@@ -145,7 +185,7 @@
                 self.complete_unit(now, unit, 1);
             }
             miss => {
-                misses.add(service, stage);
+                misses.add(unit.key.priority, service, stage);
                 self.pending.retry_at_next_tick_if(miss == Placement::WaitForRack);
             }
         }
@@ -157,7 +197,9 @@
         let Some(job) = self.jobs.get(first.job) else { return };
         let Some(stage) = job.stage(first.stage) else { return };
         let service = job.service();
-        let Some(run) = self.next_gang_run(first) else { return misses.add(service, stage) };
+        let Some(run) = self.next_gang_run(first) else {
+            return misses.add(unit.key.priority, service, stage);
+        };
         let request = unit.request(stage, service, now);
         match self.placer.place_gang(&self.jobs, &mut self.workers, &request) {
             Placement::On(workers) => {
@@ -168,7 +210,7 @@
                 self.complete_unit(now, unit, starts);
             }
             miss => {
-                misses.add(service, stage);
+                misses.add(unit.key.priority, service, stage);
                 self.pending.retry_at_next_tick_if(miss == Placement::WaitForRack);
             }
         }
