Answer 503 where a request surely had no effect, and count what stays unknown by cause

Cause: after an attempt without an answer the data plane took every request for possibly carried out: queries too, which change nothing, and those that a node refused since it was not primary.

Change: a query without an answer is a 503 with when to come back, at once where there has been no primary for long; a node that is not primary says that it took nothing (a body beside the status of before: data planes of the version before ignore it, and the empty body of a node of the version before, or of one that stopped being primary meanwhile, still counts as unknown). What is left as 504 is counted by cause.

--- a/crates/cluster/control-plane/src/node/client_requests.rs
+++ b/crates/cluster/control-plane/src/node/client_requests.rs
@@ -1,6 +1,6 @@
 //! Clients' requests, as data planes forward them.
 use super::Node;
-use super::pending_replies::{PendingReply, not_primary};
+use super::pending_replies::PendingReply;
 use super::primary::PrimaryState;
 use crate::client_api::{job_state_name, parse_job_id};
 use async_std::channel::Sender;
@@ -37,7 +37,7 @@
         let is_active = self.replica.active_term(now.monotonic_ms).is_some();
         let accepts = is_active && !self.shutdown.is_requested();
         let Some(primary) = self.primary.as_mut().filter(|_| accepts) else {
-            let _ = replies.try_send(Frame::ClientResponse(not_primary(request.request_id)));
+            let _ = replies.try_send(Frame::ClientResponse(ClientResponse::not_taken(request.request_id)));
             return;
         };
         let request_id = request.request_id;
--- a/crates/cluster/control-plane/src/node/pending_replies.rs
+++ b/crates/cluster/control-plane/src/node/pending_replies.rs
@@ -27,16 +27,11 @@
     /// operator gets no reply, as it is not known whether the change is committed.
     fn abandon(self) {
         if let PendingReply::Client(replies, response) = self {
-            let _ = replies.try_send(Frame::ClientResponse(not_primary(response.request_id)));
+            let _ = replies.try_send(Frame::ClientResponse(ClientResponse::abandoned(response.request_id)));
         }
     }
 }
 
-/// The response of a node that is not primary.
-pub(super) fn not_primary(request_id: u64) -> ClientResponse {
-    ClientResponse { request_id, status: ClientResponse::NOT_PRIMARY, body: String::new() }
-}
-
 /// A reply that waits for the batch of a sequence.
 #[derive(Debug)]
 struct WaitingReply {
--- a/crates/cluster/data-plane/src/client_api.rs
+++ b/crates/cluster/data-plane/src/client_api.rs
@@ -148,7 +148,7 @@
             }
             response
         }
-        RequestOutcome::NotSent => {
+        RequestOutcome::NoEffect => {
             let mut response = plain_response(503, "no primary");
             response.insert_header("Retry-After", RETRY_AFTER_S);
             response
--- a/crates/cluster/data-plane/src/control_plane_client.rs
+++ b/crates/cluster/data-plane/src/control_plane_client.rs
@@ -1,5 +1,6 @@
 //! The control plane as a data plane sees it: who is primary, the configuration, and requests on
 //! their way.
+use crate::outcome_counts::{OutcomeCounts, UnknownCause};
 use crate::pending_requests::{PendingRequests, RegisteredRequest};
 use async_std::channel::{Receiver, Sender, unbounded};
 use async_std::task;
@@ -44,8 +45,8 @@
         /// The body.
         body: String,
     },
-    /// It was sent to no node, and has no effect.
-    NotSent,
+    /// It was not answered, and has no effect: it changes nothing, or no node took it.
+    NoEffect,
     /// It may have been carried out, or not.
     Unknown,
 }
@@ -53,12 +54,21 @@
 /// What the attempts of a request came to so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Attempts {
-    /// None was sent.
-    None,
+    /// None was sent, or those sent were not taken.
+    NoneTaken,
     /// At least one was sent and not answered: it may have been carried out.
     Unanswered,
 }
 
+impl Attempts {
+    /// After another attempt with this response. Only an operation that changes something may have
+    /// been carried out with an effect.
+    fn after(self, operation: &ClientOperation, response: Option<&ClientResponse>) -> Self {
+        let is_not_taken = response.is_some_and(ClientResponse::is_not_taken);
+        if is_not_taken || matches!(operation, ClientOperation::Query) { self } else { Attempts::Unanswered }
+    }
+}
+
 #[derive(Debug)]
 struct State {
     directory: Directory,
@@ -96,6 +106,7 @@
     node: Arc<str>,
     peer_address: Arc<str>,
     seeds: Arc<Vec<String>>,
+    outcome_counts: Arc<OutcomeCounts>,
 }
 
 impl ControlPlaneClient {
@@ -117,6 +128,7 @@
             node: settings.node.as_str().into(),
             peer_address: settings.peer_address().into(),
             seeds: Arc::new(settings.seed_peer_addresses()),
+            outcome_counts: Arc::default(),
         };
         task::spawn(keep_connected(client.clone()));
         let receiver = client.clone();
@@ -136,6 +148,12 @@
         self.lock().configuration.clone()
     }
 
+    /// How many requests had an outcome that is not known.
+    #[must_use]
+    pub fn outcome_counts(&self) -> Arc<OutcomeCounts> {
+        self.outcome_counts.clone()
+    }
+
     /// Whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -153,15 +171,15 @@
         operation: &ClientOperation,
         deadline_ms: u64,
     ) -> RequestOutcome {
-        let mut attempts = Attempts::None;
+        let mut attempts = Attempts::NoneTaken;
         loop {
             let now_ms = self.clock.monotonic_ms();
             if now_ms >= deadline_ms {
-                return outcome_without_response(attempts);
+                return self.outcome_without_response(attempts);
             }
             let Some(primary) = self.primary() else {
-                if attempts == Attempts::None && self.has_no_primary(now_ms) {
-                    return RequestOutcome::NotSent;
+                if attempts == Attempts::NoneTaken && self.has_no_primary(now_ms) {
+                    return RequestOutcome::NoEffect;
                 }
                 task::sleep(PRIMARY_POLL_INTERVAL).await;
                 continue;
@@ -172,16 +190,43 @@
             self.lock().requests.remove(request.id);
             match response {
                 Some(response) if response.status != ClientResponse::NOT_PRIMARY => {
-                    return outcome(response, operation, attempts);
+                    return self.outcome(response, operation, attempts);
                 }
-                _ => {
-                    attempts = Attempts::Unanswered;
+                response => {
+                    attempts = attempts.after(operation, response.as_ref());
                     task::sleep(PRIMARY_POLL_INTERVAL).await;
                 }
             }
         }
     }
 
+    /// The outcome of a request that the primary answered.
+    fn outcome(
+        &self,
+        response: ClientResponse,
+        operation: &ClientOperation,
+        attempts: Attempts,
+    ) -> RequestOutcome {
+        let is_rejected_job =
+            matches!(operation, ClientOperation::Submit(_)) && REJECTED_STATUSES.contains(&response.status);
+        if attempts == Attempts::Unanswered && is_rejected_job {
+            // An earlier attempt may have been accepted by a primary that was then replaced.
+            self.outcome_counts.record(UnknownCause::RefusedAfterUnanswered);
+            return RequestOutcome::Unknown;
+        }
+        RequestOutcome::Responded { status: response.status, body: response.body }
+    }
+
+    fn outcome_without_response(&self, attempts: Attempts) -> RequestOutcome {
+        match attempts {
+            Attempts::NoneTaken => RequestOutcome::NoEffect,
+            Attempts::Unanswered => {
+                self.outcome_counts.record(UnknownCause::NoResponse);
+                RequestOutcome::Unknown
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -330,24 +375,6 @@
     }
 }
 
-/// The outcome of a request that the primary answered.
-fn outcome(response: ClientResponse, operation: &ClientOperation, attempts: Attempts) -> RequestOutcome {
-    let is_rejected_job =
-        matches!(operation, ClientOperation::Submit(_)) && REJECTED_STATUSES.contains(&response.status);
-    if attempts == Attempts::Unanswered && is_rejected_job {
-        // An earlier attempt may have been accepted by a primary that was then replaced.
-        return RequestOutcome::Unknown;
-    }
-    RequestOutcome::Responded { status: response.status, body: response.body }
-}
-
-fn outcome_without_response(attempts: Attempts) -> RequestOutcome {
-    match attempts {
-        Attempts::None => RequestOutcome::NotSent,
-        Attempts::Unanswered => RequestOutcome::Unknown,
-    }
-}
-
 /// Whether an item is a configuration of the version that it claims.
 fn is_valid(item: &Item) -> bool {
     DataPlaneConfiguration::decode(&item.content)
--- a/crates/cluster/data-plane/src/lib.rs
+++ b/crates/cluster/data-plane/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(clippy::wildcard_imports, clippy::match_bool, clippy::too_many_lines)]
 pub mod client_api;
 pub mod control_plane_client;
+pub mod outcome_counts;
 mod pending_requests;
 
 use async_std::task;
@@ -57,7 +58,11 @@
     let clock = Clock::start();
     let control_plane = ControlPlaneClient::start(settings, clock);
     if let Some(endpoint) = settings.metrics_endpoint() {
-        metrics::spawn(endpoint, || async { traffic::metrics_text() });
+        let counts = control_plane.outcome_counts();
+        metrics::spawn(endpoint, move || {
+            let text = traffic::metrics_text() + &counts.metrics_text();
+            async { text }
+        });
     }
     let api = ClientApi::new(control_plane, is_shutting_down.clone(), clock);
     task::spawn(client_api::serve(clients, api.clone(), max_client_connections(settings)));
--- a/crates/cluster/data-plane/tests/client_requests.rs
+++ b/crates/cluster/data-plane/tests/client_requests.rs
@@ -6,14 +6,38 @@
 use spanlead_cluster_runtime::peer_server;
 use spanlead_cluster_runtime::settings::Settings;
 use spanlead_data_plane::control_plane_client::{ControlPlaneClient, RequestOutcome};
+use spanlead_data_plane::outcome_counts::{OutcomeCounts, UnknownCause};
 use spanlead_job_scheduler::JobSpec;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// The status of the response to a request, by how many were received before; `None`: no response.
-type Script = fn(usize) -> Option<u16>;
+/// What the primary responds to a request.
+#[derive(Clone, Copy)]
+enum Scripted {
+    /// With a status of HTTP.
+    Status(u16),
+    /// That it is not primary and took nothing.
+    NotTaken,
+    /// That it is not primary any more.
+    Abandoned,
+    Nothing,
+}
+
+impl Scripted {
+    fn response(self, request_id: u64) -> Option<ClientResponse> {
+        match self {
+            Scripted::Status(status) => Some(ClientResponse { request_id, status, body: String::new() }),
+            Scripted::NotTaken => Some(ClientResponse::not_taken(request_id)),
+            Scripted::Abandoned => Some(ClientResponse::abandoned(request_id)),
+            Scripted::Nothing => None,
+        }
+    }
+}
+
+/// The response to a request, by how many were received before.
+type Script = fn(usize) -> Scripted;
 
 /// Serves as the primary at a loopback address. Returns the count of the requests received.
 fn serve_primary(ip: &str, port: u16, script: Script) -> Arc<AtomicUsize> {
@@ -27,8 +51,7 @@
         }
         Frame::ClientRequest(request) => {
             let before = received.fetch_add(1, Ordering::SeqCst);
-            if let Some(status) = script(before) {
-                let response = ClientResponse { request_id: request.request_id, status, body: String::new() };
+            if let Some(response) = script(before).response(request.request_id) {
                 let _ = replies.try_send(Frame::ClientResponse(response));
             }
         }
@@ -38,6 +61,9 @@
     requests
 }
 
+/// How long a request may take, milliseconds.
+const DEADLINE_MS: u64 = 5_000;
+
 /// What submitting a job came to.
 #[derive(Debug, PartialEq)]
 struct Submission {
@@ -46,8 +72,24 @@
     attempts: usize,
 }
 
+/// The causes that the metrics count for the unknown outcomes of the scripts here.
+fn assert_counted(counts: &OutcomeCounts, outcome: &RequestOutcome, attempts: usize) {
+    let is_unknown = *outcome == RequestOutcome::Unknown;
+    // Scripts answer the second attempt, or none.
+    let (refused, unanswered) =
+        if attempts == 2 { (u64::from(is_unknown), 0) } else { (0, u64::from(is_unknown)) };
+    assert_eq!(counts.count(UnknownCause::RefusedAfterUnanswered), refused);
+    assert_eq!(counts.count(UnknownCause::NoResponse), unanswered);
+}
+
 /// Submits a job, at loopback addresses that end with this octet.
 async fn submit(octet: u8, script: Script) -> Submission {
+    let spec = JobSpec::from_json(br#"{"spec":"x","stages":[{"count":1,"cpu":1}]}"#).expect("good");
+    send(octet, script, ClientOperation::Submit(spec)).await
+}
+
+/// Sends a request that must be answered within 5 s, in the same way.
+async fn send(octet: u8, script: Script, operation: ClientOperation) -> Submission {
     let (own, other) = (format!("127.0.9.{octet}"), format!("127.0.8.{octet}"));
     let port = TcpListener::bind(format!("{own}:0")).expect("a port").local_addr().expect("bound").port();
     let requests = serve_primary(&other, port, script);
@@ -59,17 +101,21 @@
     let settings = Settings::read(&file.path().to_string_lossy()).expect("settings");
     let clock = Clock::start();
     let control_plane = ControlPlaneClient::start(&settings, clock);
-    task::sleep(Duration::from_millis(300)).await;
-    let spec = JobSpec::from_json(br#"{"spec":"x","stages":[{"count":1,"cpu":1}]}"#).expect("good");
-    let outcome = control_plane
-        .request("h", "/p/00000000000000aa", &ClientOperation::Submit(spec), clock.monotonic_ms() + 5_000)
-        .await;
-    Submission { outcome, attempts: requests.load(Ordering::SeqCst) }
+    let mut outcome = RequestOutcome::NoEffect;
+    // Before the primary is known a request has no effect and reaches nobody.
+    while requests.load(Ordering::SeqCst) == 0 {
+        task::sleep(Duration::from_millis(20)).await;
+        let deadline_ms = clock.monotonic_ms() + DEADLINE_MS;
+        outcome = control_plane.request("h", "/p/00000000000000aa", &operation, deadline_ms).await;
+    }
+    let attempts = requests.load(Ordering::SeqCst);
+    assert_counted(&control_plane.outcome_counts(), &outcome, attempts);
+    Submission { outcome, attempts }
 }
 
 #[async_std::test]
 async fn a_refusal_is_forwarded() {
-    let submission = submit(1, |_| Some(429)).await;
+    let submission = submit(1, |_| Scripted::Status(429)).await;
     assert_eq!(submission, Submission { outcome: responded(429), attempts: 1 });
 }
 
@@ -83,24 +129,57 @@
     }
 }
 
-fn late_429(before: usize) -> Option<u16> {
-    (before > 0).then_some(429)
+fn late_429(before: usize) -> Scripted {
+    if before > 0 { Scripted::Status(429) } else { Scripted::Nothing }
 }
 
-fn late_404(before: usize) -> Option<u16> {
-    (before > 0).then_some(404)
+fn late_404(before: usize) -> Scripted {
+    if before > 0 { Scripted::Status(404) } else { Scripted::Nothing }
 }
 
-fn late_503(before: usize) -> Option<u16> {
-    (before > 0).then_some(503)
+fn late_503(before: usize) -> Scripted {
+    if before > 0 { Scripted::Status(503) } else { Scripted::Nothing }
 }
 
 #[async_std::test]
 async fn a_job_that_is_accepted_at_the_second_attempt_is_accepted() {
-    let submission = submit(5, |before| (before > 0).then_some(200)).await;
+    let late_200 = |before| if before > 0 { Scripted::Status(200) } else { Scripted::Nothing };
+    let submission = submit(5, late_200).await;
     assert_eq!(submission, Submission { outcome: responded(200), attempts: 2 });
 }
 
+/// A node that is not primary took nothing, so a refusal by the next one is sure.
+#[async_std::test]
+async fn a_refusal_after_an_attempt_that_was_not_taken_is_forwarded() {
+    let not_taken = |before| if before > 0 { Scripted::Status(429) } else { Scripted::NotTaken };
+    let submission = submit(6, not_taken).await;
+    assert_eq!(submission, Submission { outcome: responded(429), attempts: 2 });
+}
+
+/// A node that stopped being primary may have committed what it took.
+#[async_std::test]
+async fn a_refusal_after_an_abandoned_attempt_leaves_the_outcome_unknown() {
+    let abandoned = |before| if before > 0 { Scripted::Status(429) } else { Scripted::Abandoned };
+    let submission = submit(7, abandoned).await;
+    assert_eq!(submission, Submission { outcome: RequestOutcome::Unknown, attempts: 2 });
+}
+
+#[async_std::test]
+async fn a_submission_that_nobody_takes_has_no_effect() {
+    let submission = submit(8, |_| Scripted::NotTaken).await;
+    assert_eq!(submission.outcome, RequestOutcome::NoEffect);
+    assert!(submission.attempts > 1, "it is sent again until its deadline");
+}
+
+/// A query changes nothing, answered or not: its client may repeat it.
+#[async_std::test]
+async fn an_unanswered_query_has_no_effect_and_an_unanswered_cancel_may_have() {
+    let query = send(9, |_| Scripted::Nothing, ClientOperation::Query).await;
+    assert_eq!(query.outcome, RequestOutcome::NoEffect);
+    let cancel = send(10, |_| Scripted::Nothing, ClientOperation::Cancel).await;
+    assert_eq!(cancel.outcome, RequestOutcome::Unknown);
+}
+
 fn responded(status: u16) -> RequestOutcome {
     RequestOutcome::Responded { status, body: String::new() }
 }
