Find by bounds of free capacity what fits nowhere

Change: with 16 units or more that do not fit, a full pass computes by service and label how much any worker has free at most; what demands more is a miss without a scan. Freed capacity raises the bounds, a changed list forgets them. placement_attempts in the metrics, and tests for pacing and bounds.

--- a/crates/cluster/control-plane/src/metrics_text.rs
+++ b/crates/cluster/control-plane/src/metrics_text.rs
@@ -42,6 +42,7 @@
         ("spanlead_shortest_deadline_ms", call_timeouts.shortest_ms),
         ("spanlead_longest_deadline_ms", call_timeouts.longest_ms),
         ("spanlead_start_held_back_checks", metrics.held_back_checks),
+        ("spanlead_placement_attempts", metrics.placement_attempts),
     ];
     for (name, value) in lines {
         let _ = writeln!(text, "{name} {value}");
--- a/crates/cluster/job-scheduler/src/metrics.rs
+++ b/crates/cluster/job-scheduler/src/metrics.rs
@@ -51,6 +51,8 @@
     pub max_starts_per_tick: u64,
     /// The time-outs of calls at present; `None` before the first response.
     pub call_timeouts: Option<TimeoutRange>,
+    /// How often a pass tried to place a task or gang.
+    pub placement_attempts: u64,
     /// How long the stages of starts took.
     pub start_latencies: StartLatencies,
     /// How often a check found the first task in line held back for long by a bound on starts.
--- a/crates/cluster/job-scheduler/src/placement/gang.rs
+++ b/crates/cluster/job-scheduler/src/placement/gang.rs
@@ -18,6 +18,9 @@
         workers: &mut WorkerRegistry,
         request: &PlacementRequest<'_>,
     ) -> Placement<Vec<WorkerIndex>> {
+        if !self.may_fit(request, None) {
+            return Placement::NoCapacity;
+        }
         let members: Vec<TaskId> = jobs.tasks_of_stage(request.task).collect();
         if request.stage.rack_local {
             let placed = self.place_gang_on_one_rack(jobs, workers, request, &members);
--- a/crates/cluster/job-scheduler/src/placement/mod.rs
+++ b/crates/cluster/job-scheduler/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Where tasks go: which workers are eligible, which of them are candidates, and which is chosen.
 mod candidates;
+mod capacity_bounds;
 mod gang;
 mod misses;
 mod placer;
--- a/crates/cluster/job-scheduler/src/placement/placer.rs
+++ b/crates/cluster/job-scheduler/src/placement/placer.rs
@@ -1,6 +1,7 @@
 //! The choice of a worker: candidates by random walks among the workers of a kind, then the one
 //! with the least cost.
 use super::candidates::{CandidateGraphs, WorkerKind, draw_candidates};
+use super::capacity_bounds::CapacityBounds;
 use super::request::{Eligibility, PlacementRequest};
 use crate::ids::WorkerIndex;
 use crate::jobs::JobTable;
@@ -13,6 +14,8 @@
 
 /// How long a task waits for a worker near its data, as a share of what it loses far from them.
 const RACK_WAIT_SHARE: f64 = 0.5;
+/// Units that did not fit from which on the bounds of free capacity are worth a look at all workers.
+const MIN_MISSES_FOR_BOUNDS: usize = 16;
 
 /// The decision about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +33,7 @@
 pub(crate) struct Placer {
     remote_data_slowdown: f64,
     graphs: CandidateGraphs,
+    bounds: CapacityBounds,
     rng: Pcg64Mcg,
     /// Services most of whose workers are ejected: there, ejection says nothing about a single
     /// worker (panic mode).
@@ -43,6 +47,7 @@
         Placer {
             remote_data_slowdown,
             graphs: CandidateGraphs::default(),
+            bounds: CapacityBounds::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             panicking_services: FxHashSet::default(),
         }
@@ -52,9 +57,24 @@
     pub(crate) fn update_workers(&mut self, workers: &WorkerRegistry, changed: &[WorkerIndex]) {
         if !changed.is_empty() {
             self.graphs.update(workers.as_slice(), changed);
+            self.bounds.forget();
         }
     }
 
+    /// A full pass begins, and so many units did not fit since the last began.
+    pub(crate) fn begin_full_pass(&mut self, workers: &WorkerRegistry, misses: usize) {
+        if misses >= MIN_MISSES_FOR_BOUNDS {
+            self.bounds.refresh(workers);
+        } else {
+            self.bounds.forget();
+        }
+    }
+
+    /// A worker has freed capacity.
+    pub(crate) fn capacity_freed(&mut self, worker: &Worker) {
+        self.bounds.raise(worker);
+    }
+
     /// Finds the services most of whose workers are ejected.
     pub(crate) fn update_panic_mode(&mut self, workers: &WorkerRegistry, now_ms: u64) {
         #[derive(Default)]
@@ -105,6 +125,12 @@
         chosen.map_or(Placement::NoCapacity, Placement::On)
     }
 
+    /// Whether any worker may have enough free, on `rack` if one is given.
+    pub(super) fn may_fit(&self, request: &PlacementRequest<'_>, rack: Option<&str>) -> bool {
+        let labels = request.stage.constraints.iter().map(String::as_str).chain(rack);
+        self.bounds.may_fit(request.service, labels, Resources::demand_of(request.stage))
+    }
+
     /// Workers that the task avoids are chosen only if there is no other.
     fn choose_on_rack(
         &mut self,
@@ -113,6 +139,9 @@
         request: &PlacementRequest<'_>,
         rack: Option<&str>,
     ) -> Option<WorkerIndex> {
+        if !self.may_fit(request, rack) {
+            return None;
+        }
         let mut eligibility = self.eligibility(jobs, request, true);
         let preferred = self.choose_eligible(workers, &eligibility, rack);
         if preferred.is_none() && eligibility.task.is_some_and(|task| task.avoids_any_worker()) {
--- a/crates/cluster/job-scheduler/src/resources.rs
+++ b/crates/cluster/job-scheduler/src/resources.rs
@@ -29,6 +29,15 @@
         }
     }
 
+    /// The larger amount of each resource.
+    pub(crate) fn max(self, other: Resources) -> Resources {
+        Resources {
+            cpu_millicores: self.cpu_millicores.max(other.cpu_millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// The difference, 0 where the other amount is larger.
     pub(crate) fn minus(self, other: Resources) -> Resources {
         Resources {
--- a/crates/cluster/job-scheduler/src/scheduler/apply.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/apply.rs
@@ -83,11 +83,17 @@
                 task.avoid_worker(ended.worker());
             }
             self.workers[ended.worker()].allocation.release(run, demand);
-            self.pending.capacity_changed();
+            self.capacity_freed(ended.worker());
         }
         true
     }
 
+    /// What waits may fit on this worker now.
+    pub(super) fn capacity_freed(&mut self, worker: WorkerIndex) {
+        self.placer.capacity_freed(&self.workers[worker]);
+        self.pending.capacity_changed();
+    }
+
     fn apply_gang_done(&mut self, member: TaskId) {
         for task in self.jobs.tasks_of_stage(member) {
             self.apply_task_done(task);
--- a/crates/cluster/job-scheduler/src/scheduler/placing.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/placing.rs
@@ -45,6 +45,7 @@
         match pass {
             Pass::Untried => self.place_untried_units(now, &mut misses, None),
             Pass::Full => {
+                self.placer.begin_full_pass(&self.workers, misses.count());
                 misses = PlacementMisses::default();
                 self.place_all_units(now, Bound::Unbounded, &mut misses);
             }
@@ -156,6 +157,7 @@
 
     /// Places a task or gang, if there is capacity.
     fn place_unit(&mut self, now: Now, unit: PendingUnit, misses: &mut PlacementMisses) {
+        self.metrics.placement_attempts += 1;
         if self.jobs.is_gang(unit.key.task) {
             self.place_gang(now, unit, misses);
         } else {
--- a/crates/cluster/job-scheduler/src/scheduler/reports.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/reports.rs
@@ -141,7 +141,7 @@
             self.calls.send(worker, stop, RENEWAL_TIMEOUT_MS);
         }
         if worker.allocation.set_orphans(orphans) {
-            self.pending.capacity_changed();
+            self.capacity_freed(received.worker);
         }
     }
 
--- a/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
@@ -79,7 +79,7 @@
                 continue;
             }
             if worker.allocation.clear_orphans() {
-                self.pending.capacity_changed();
+                self.capacity_freed(index);
             }
             self.end_all_runs_on(now, index);
         }
--- a/crates/cluster/job-scheduler/src/workers/worker.rs
+++ b/crates/cluster/job-scheduler/src/workers/worker.rs
@@ -93,6 +93,10 @@
         &self.zone
     }
 
+    pub(crate) fn labels(&self) -> &[CompactString] {
+        &self.labels
+    }
+
     /// The rack, which is its second label.
     pub(crate) fn rack(&self) -> Option<&str> {
         self.labels.get(1).map(CompactString::as_str)
--- a/crates/cluster/job-scheduler/tests/common/manual.rs
+++ b/crates/cluster/job-scheduler/tests/common/manual.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// The platform lists so many workers.
+    pub fn list_workers(&mut self, workers: usize) {
+        let list: Vec<ListedWorker> = (0..workers).map(listed_worker).collect();
+        self.scheduler.update_workers(self.now(), &list);
+    }
+
     pub fn now(&self) -> Now {
         Now { monotonic_ms: self.now_ms, unix_ms: self.now_ms }
     }
--- a/crates/cluster/job-scheduler/tests/overload.rs
+++ b/crates/cluster/job-scheduler/tests/overload.rs
@@ -122,6 +122,36 @@
     assert_eq!(manual.scheduler.metrics().held_back_by, None);
 }
 
+/// Each end frees capacity, and none of it is enough for what waits: that is tried again from time to
+/// time, not after each end.
+#[test]
+fn what_does_not_fit_is_not_tried_again_after_each_end() {
+    const WORKERS: usize = 100;
+    const WAITING: u64 = 12;
+    let mut manual = ManualScheduler::new(WORKERS);
+    manual.submit(1, &tasks(WORKERS));
+    let mut runs = Vec::new();
+    while runs.len() < WORKERS {
+        for start in starts(&manual.advance(20)) {
+            manual.acknowledge(start);
+            runs.push((start.worker_id.to_string(), started_run(start)));
+        }
+    }
+    let renewals: Vec<WorkerCall> = runs.iter().map(|(worker, _)| manual.waiting_renewal(worker)).collect();
+    for job in 0..WAITING {
+        manual.submit(100 + job, &ONE_TASK.replace("600", &(1_100 - job).to_string()));
+    }
+    let before = manual.scheduler.metrics().placement_attempts;
+
+    for ((_, (task, run)), renewal) in runs.iter().zip(&renewals) {
+        manual.report(renewal, &[], &[(1, *task, *run, "done")]);
+        manual.scheduler.place_ready_tasks(manual.now());
+    }
+
+    let attempts = manual.scheduler.metrics().placement_attempts - before;
+    assert!(attempts <= 2 * WAITING, "{attempts} attempts after {WORKERS} ends at one moment");
+}
+
 #[test]
 fn task_that_fits_is_placed_behind_many_gangs_that_do_not() {
     let mut manual = ManualScheduler::new(3);
--- a/crates/cluster/job-scheduler/tests/placement.rs
+++ b/crates/cluster/job-scheduler/tests/placement.rs
@@ -1,7 +1,9 @@
 //! Which worker a task goes to, and when it goes to none.
 mod common;
 use common::{ManualScheduler, ONE_TASK, first_task, is_stop, single_start, started_run, starts};
-use spanlead_job_scheduler::{JobId, JobOutcome, JobState, WorkerCall, WorkerRequest, WorkerResponse};
+use spanlead_job_scheduler::{
+    JobId, JobOutcome, JobState, TaskId, WorkerCall, WorkerRequest, WorkerResponse,
+};
 use std::collections::BTreeSet;
 
 /// A gang of so many tasks, of which one fits a worker.
@@ -125,3 +127,45 @@
 
     assert_eq!(started_run(&single_start(&manual.advance(20))).0, first_task(2));
 }
+
+/// Fills all workers, and queues jobs that fit nowhere, each with a smaller demand than the one
+/// before, so that none stands for another.
+fn full_workers_and_many_that_wait(workers: usize) -> ManualScheduler {
+    let mut manual = ManualScheduler::new(workers);
+    manual.submit(1, &ONE_TASK.replace("\"count\":1", &format!("\"count\":{workers}")));
+    for start in starts(&manual.commit()) {
+        manual.acknowledge(start);
+    }
+    for waiting in 0..40 {
+        manual.submit(100 + waiting, &ONE_TASK.replace("600", &(900 - waiting).to_string()));
+    }
+    for _ in 0..5 {
+        assert!(starts(&manual.advance(20)).is_empty(), "all workers are full");
+    }
+    manual
+}
+
+#[test]
+fn capacity_that_is_freed_is_seen_among_many_that_do_not_fit() {
+    let mut manual = full_workers_and_many_that_wait(4);
+    let run = manual.scheduler.inspect_job(JobId(1)).expect("known").open_tasks[2].clone();
+    let worker = run.active_runs[0].worker_id.clone();
+    let task = TaskId { index: 2, ..first_task(1) };
+
+    let renewal = manual.waiting_renewal(&worker);
+    manual.report(&renewal, &[], &[(1, task, 1, "done")]);
+
+    assert_eq!(starts(&manual.advance(40)).len(), 1, "a task of 900 to 861 fits");
+}
+
+#[test]
+fn worker_that_is_listed_is_used_by_one_of_many_that_do_not_fit() {
+    let mut manual = full_workers_and_many_that_wait(4);
+
+    manual.list_workers(5);
+    for call in manual.advance(20).iter().filter(|call| *call.worker_id == *"i-4") {
+        manual.report(call, &[], &[]);
+    }
+
+    assert_eq!(starts(&manual.advance(40)).len(), 1, "on the new worker");
+}
