Check a record of an accepted job whole before the earlier job of its key is removed

Cause: JobTable::apply removed the job whose key the record takes before it checked that no open job has its id; a rejected record had then changed the table. Found by reading, confirmed by the new case of a_record_that_does_not_fit_is_rejected_and_changes_nothing, which fails without the mend. Expiry, which an accepted record brings about by its time, still precedes the checks.

--- a/crates/service/durable-jobs/src/table/apply.rs
+++ b/crates/service/durable-jobs/src/table/apply.rs
@@ -101,14 +101,17 @@
         self.expire(accepted.accepted_at);
         let job = Job::new(accepted.clone());
         let previous = job.key().and_then(|key| self.by_key.get(&key).copied());
-        if let Some(previous) = previous.and_then(|number| self.job(number)) {
+        let previous = previous.and_then(|number| self.job(number));
+        if let Some(previous) = previous {
             check_continues(accepted, previous)?;
-            let number = previous.accepted.number;
-            self.remove(number);
         }
+        // The previous job of the key is over, so this is another one.
         if self.job_by_id(&accepted.id).is_some_and(Job::is_open) {
             return Err(RejectReason::IdOpen);
         }
+        if let Some(number) = previous.map(|previous| previous.accepted.number) {
+            self.remove(number);
+        }
         self.next_job = accepted.number.next();
         self.insert(job, lsn);
         Ok(())
--- a/crates/service/durable-jobs/tests/job_table.rs
+++ b/crates/service/durable-jobs/tests/job_table.rs
@@ -20,7 +20,18 @@
     let in_flight = [unsafe_job(1, Some("k")), leased(1, 1, "s-a")];
     let over = [&in_flight[..], &[finished(1, succeeded("r"))]].concat();
     let not_leased = &in_flight[..1];
-    let cases: [(&[Record], Record, RejectReason); 12] = [
+    // The key of a failed job may be used again, but not with the id of a job that is open.
+    let failed_and_open = [
+        accepted(1, Some("k"), RetrySafety::Idempotent),
+        leased(1, 1, "s-a"),
+        finished(1, JobOutcome::Failed),
+        accepted(2, None, RetrySafety::Idempotent),
+    ];
+    let id_of_open = AcceptedJob {
+        id: accepted_job(2, None, RetrySafety::Idempotent).id,
+        ..accepted_job(3, Some("k"), RetrySafety::Idempotent)
+    };
+    let cases: [(&[Record], Record, RejectReason); 13] = [
         (&[], leased(1, 1, "s-a"), RejectReason::UnknownJob),
         (&in_flight, leased(1, 2, "s-b"), RejectReason::AttemptInFlight),
         (&in_flight, leased(1, 1, "s-b"), RejectReason::TokenReused),
@@ -33,6 +44,7 @@
         (&over, leased(1, 2, "s-b"), RejectReason::AlreadyFinished),
         (&over, Record::Renewed { job, token, expires_at: 0 }, RejectReason::AlreadyFinished),
         (&over, unsafe_job(2, Some("k")), RejectReason::KeyFinished),
+        (&failed_and_open, Record::Accepted(id_of_open), RejectReason::IdOpen),
     ];
     for (before, record, reason) in cases {
         let mut table = table_of(before);
