Name the calls of the scheduler and the services of a primary by what they are

Effect had one variant: the scheduler hands out WorkerCalls (take_calls). PrimaryState was a type of replication and another of the control plane: the latter is PrimaryServices.

--- a/crates/cluster/control-plane/src/node/client_requests.rs
+++ b/crates/cluster/control-plane/src/node/client_requests.rs
@@ -1,7 +1,7 @@
 //! Clients' requests, as data planes forward them.
 use super::Node;
 use super::pending_replies::PendingReply;
-use super::primary::PrimaryState;
+use super::primary::PrimaryServices;
 use crate::client_api::{job_state_name, parse_job_id};
 use async_std::channel::Sender;
 use spanlead_cluster_config::Route;
@@ -47,7 +47,7 @@
     }
 }
 
-impl PrimaryState {
+impl PrimaryServices {
     /// Carries out a request by the configuration in force.
     fn respond(&mut self, now: Now, request: ClientRequest) -> Response {
         let ClientRequest { host, path, operation, .. } = request;
--- a/crates/cluster/control-plane/src/node/mod.rs
+++ b/crates/cluster/control-plane/src/node/mod.rs
@@ -16,13 +16,13 @@
 use crate::write_latency::WriteLatency;
 use async_std::channel::Sender;
 use data_planes::DataPlanes;
-use primary::{PrimaryState, UnreadableKeys};
+use primary::{PrimaryServices, UnreadableKeys};
 use shutdown::Shutdown;
 use spanlead_cluster_runtime::clock::Clock;
 use spanlead_cluster_runtime::frame::Frame;
 use spanlead_cluster_runtime::peer_links::PeerLinks;
 use spanlead_cluster_runtime::settings::Settings;
-use spanlead_job_scheduler::{Effect, RecordChange, Scheduler, SchedulerConfig, WorkerCall, WorkerResponse};
+use spanlead_job_scheduler::{RecordChange, Scheduler, SchedulerConfig, WorkerCall, WorkerResponse};
 use spanlead_replication::{
     self as replication, Change, Member, Output, RecoveredState, Replica, ReplicaConfig, ReplicaEvent, Term,
     View,
@@ -61,7 +61,7 @@
     worker_list_address: Option<Arc<str>>,
     replica: Replica,
     /// Present exactly from the replica's activation to its deactivation.
-    primary: Option<PrimaryState>,
+    primary: Option<PrimaryServices>,
     data_planes: DataPlanes,
     own_disk: WriteLatency,
     shutdown: Shutdown,
@@ -224,7 +224,7 @@
         let seed = self.clock.random_seed("scheduler");
         let scheduler = Scheduler::new(self.scheduler_config, term.0, seed, now);
         let keyspace = self.replica.keyspace();
-        match PrimaryState::recover(term, scheduler, now, keyspace, self.replica.position()) {
+        match PrimaryServices::recover(term, scheduler, now, keyspace, self.replica.position()) {
             Ok(primary) => {
                 log::info!("primary activated term={term} keys={}", keyspace.len());
                 self.primary = Some(primary);
@@ -288,10 +288,9 @@
         let committed = self.replica.committed_sequence();
         let is_active = self.replica.active_term(self.clock.monotonic_ms()).is_some();
         let Some(primary) = &mut self.primary else { return };
-        // Also effects of a pass that changed nothing which must be written.
+        // Also calls of a pass that changed nothing which must be written.
         primary.scheduler.handle_committed(self.clock.now(), committed);
-        for effect in primary.scheduler.drain_effects() {
-            let Effect::CallWorker(call) = effect;
+        for call in primary.scheduler.take_calls() {
             let inputs = self.inputs.clone();
             let on_done = move |call, response| inputs.send(Input::WorkerResponse(call, response));
             if is_active {
--- a/crates/cluster/control-plane/src/node/operator_requests.rs
+++ b/crates/cluster/control-plane/src/node/operator_requests.rs
@@ -1,7 +1,7 @@
 //! Operators' requests.
 use super::Node;
 use super::pending_replies::PendingReply;
-use super::primary::PrimaryState;
+use super::primary::PrimaryServices;
 use crate::configuration_state::ReplaceOutcome;
 use crate::input::{OperatorReply, ReplaceRequest, StatusQuery};
 use crate::metrics_text::{self, PrimaryMetrics};
@@ -64,7 +64,7 @@
         }
     }
 
-    fn primary_status(&self, query: &StatusQuery, primary: &PrimaryState) -> OperatorReply {
+    fn primary_status(&self, query: &StatusQuery, primary: &PrimaryServices) -> OperatorReply {
         let found = match query {
             StatusQuery::Members => Some(status::members(&self.replica)),
             StatusQuery::Workers => Some(status::workers(&primary.scheduler, self.clock.monotonic_ms())),
--- a/crates/cluster/control-plane/src/node/primary.rs
+++ b/crates/cluster/control-plane/src/node/primary.rs
@@ -12,7 +12,7 @@
 /// It is derived from the key space at activation; from then on every change of it is proposed as a
 /// batch, and nothing leaves the node that rests on a batch which is not committed.
 #[derive(Debug)]
-pub(super) struct PrimaryState {
+pub(super) struct PrimaryServices {
     /// The term, also the fencing token of calls to workers.
     pub(super) term: Term,
     pub(super) scheduler: Scheduler,
@@ -24,7 +24,7 @@
     pub(super) worker_list: WorkerListPolling,
 }
 
-impl PrimaryState {
+impl PrimaryServices {
     /// Recovers the state from the key space.
     ///
     /// # Errors
@@ -42,7 +42,7 @@
         if !unreadable.is_empty() {
             return Err(UnreadableKeys(unreadable));
         }
-        Ok(PrimaryState {
+        Ok(PrimaryServices {
             term,
             scheduler,
             configuration: ConfigurationState::load(keyspace),
--- a/crates/cluster/control-plane/tests/golden/folder.rs
+++ b/crates/cluster/control-plane/tests/golden/folder.rs
@@ -4,8 +4,8 @@
 use spanlead_control_plane::configuration_state::{ConfigurationState, ReplaceOutcome};
 use spanlead_control_plane::store::Store;
 use spanlead_job_scheduler::{
-    Admission, Effect, FinishedTask, JobId, JobSpec, ListedWorker, ListedWorkerState, Now, QueueId,
-    QueuePolicy, RecordChange, RunningTask, Scheduler, SchedulerConfig, TaskId, WorkerReport, WorkerRequest,
+    Admission, FinishedTask, JobId, JobSpec, ListedWorker, ListedWorkerState, Now, QueueId, QueuePolicy,
+    RecordChange, RunningTask, Scheduler, SchedulerConfig, TaskId, WorkerReport, WorkerRequest,
     WorkerResponse,
 };
 use spanlead_replication::{
@@ -198,7 +198,7 @@
             self.monotonic_ms += 50;
             self.scheduler.tick(now(self.monotonic_ms));
             self.write();
-            for Effect::CallWorker(call) in self.scheduler.drain_effects() {
+            for call in self.scheduler.take_calls() {
                 let response = self.respond(&call.request);
                 self.scheduler.handle_response(
                     now(self.monotonic_ms),
--- a/crates/cluster/job-scheduler/src/calls/outstanding.rs
+++ b/crates/cluster/job-scheduler/src/calls/outstanding.rs
@@ -1,6 +1,6 @@
 //! Calls to workers: those to be made, those without response yet, and when starts time out.
 use crate::ids::RunId;
-use crate::protocol::{Effect, WorkerCall, WorkerRequest};
+use crate::protocol::{WorkerCall, WorkerRequest};
 use crate::workers::Worker;
 use std::collections::BTreeSet;
 
@@ -14,12 +14,12 @@
 /// Calls to workers.
 ///
 /// `in_flight` counts the calls whose result was not returned yet, also those that wait in
-/// `effects`; so a result must be returned for each call exactly once, which the embedder does.
+/// `calls`; so a result must be returned for each call exactly once, which the embedder does.
 #[derive(Debug)]
 pub(crate) struct OutstandingCalls {
     fencing_token: u64,
     max_concurrent: usize,
-    effects: Vec<Effect>,
+    calls: Vec<WorkerCall>,
     in_flight: usize,
     starts_in_flight: usize,
     /// Starts that timed out and whose calls have no result yet.
@@ -32,7 +32,7 @@
         OutstandingCalls {
             fencing_token,
             max_concurrent,
-            effects: Vec::new(),
+            calls: Vec::new(),
             in_flight: 0,
             starts_in_flight: 0,
             starts_in_doubt: BTreeSet::new(),
@@ -47,13 +47,13 @@
         }
         self.in_flight += 1;
         self.starts_in_flight += usize::from(matches!(request, WorkerRequest::Start { .. }));
-        self.effects.push(Effect::CallWorker(WorkerCall {
+        self.calls.push(WorkerCall {
             worker_id: worker.id().clone(),
             address: worker.address().clone(),
             request,
             timeout_ms,
             fencing_token: self.fencing_token,
-        }));
+        });
     }
 
     /// The result of a call was returned.
@@ -72,9 +72,9 @@
         }
     }
 
-    /// The effects since the last call.
-    pub(crate) fn drain_effects(&mut self) -> Vec<Effect> {
-        std::mem::take(&mut self.effects)
+    /// The calls to be made since this was last called.
+    pub(crate) fn take_calls(&mut self) -> Vec<WorkerCall> {
+        std::mem::take(&mut self.calls)
     }
 
     pub(crate) fn in_flight(&self) -> usize {
--- a/crates/cluster/job-scheduler/src/lib.rs
+++ b/crates/cluster/job-scheduler/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! A [`Scheduler`] is a pure state machine without I/O or clock. Its embedder calls it with what
 //! clients submit, the platform's list of workers, the responses of workers, and the time. It
-//! replicates the [`RecordChange`]s that the scheduler makes, and carries out its [`Effect`]s:
-//! calls to workers, which are released once the records that they depend on are committed. All
+//! replicates the [`RecordChange`]s that the scheduler makes, and makes its [`WorkerCall`]s,
+//! which are released once the records that they depend on are committed. All
 //! that must last about jobs is in the records, so another machine goes on from them
 //! ([`Scheduler::recover`]); what runs where at the moment it learns from the workers.
 //!
@@ -60,8 +60,8 @@
 pub use latency::{LatencyHistogram, StartLatencies};
 pub use metrics::{SchedulerCounts, SchedulerMetrics, StartBound, TimeoutRange};
 pub use protocol::{
-    Effect, FinishedTask, ListedWorker, ListedWorkerState, RunningTask, WorkerCall, WorkerReport,
-    WorkerRequest, WorkerResponse,
+    FinishedTask, ListedWorker, ListedWorkerState, RunningTask, WorkerCall, WorkerReport, WorkerRequest,
+    WorkerResponse,
 };
 pub use record::{JobOutcome, RecordChange, is_readable_record};
 pub use scheduler::{JobView, RunView, Scheduler, TaskView, Usage, WorkerView};
--- a/crates/cluster/job-scheduler/src/protocol.rs
+++ b/crates/cluster/job-scheduler/src/protocol.rs
@@ -5,14 +5,8 @@
 use compact_str::CompactString;
 use std::sync::Arc;
 
-/// What the embedder has to carry out.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Call a worker and return the response with [`crate::Scheduler::handle_response`].
-    CallWorker(WorkerCall),
-}
-
-/// A call to a worker.
+/// A call to a worker. The embedder makes it and returns the response with
+/// [`crate::Scheduler::handle_response`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerCall {
     /// The identifier of the incarnation that is called, as the platform lists it.
--- a/crates/cluster/job-scheduler/src/scheduler/commits.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/commits.rs
@@ -2,7 +2,7 @@
 use super::Scheduler;
 use crate::commit::DeferredAction;
 use crate::config::Now;
-use crate::protocol::Effect;
+use crate::protocol::WorkerCall;
 use crate::record::{RecordChange, RecordKey};
 
 impl Scheduler {
@@ -36,8 +36,8 @@
         self.send_due_renewals(now.monotonic_ms);
     }
 
-    /// What is to be carried out since the last call.
-    pub fn drain_effects(&mut self) -> Vec<Effect> {
-        self.calls.drain_effects()
+    /// The calls that are to be made since this was last called.
+    pub fn take_calls(&mut self) -> Vec<WorkerCall> {
+        self.calls.take_calls()
     }
 }
--- a/crates/cluster/job-scheduler/tests/common/manual.rs
+++ b/crates/cluster/job-scheduler/tests/common/manual.rs
@@ -1,8 +1,8 @@
 //! A scheduler whose calls a test answers itself, in whatever order it wants.
 use super::{CONFIG, Records, apply_changes, policy};
 use spanlead_job_scheduler::{
-    Admission, Effect, FinishedTask, JobId, JobSpec, ListedWorker, ListedWorkerState, Now, RunningTask,
-    Scheduler, SchedulerConfig, TaskId, WorkerCall, WorkerReport, WorkerRequest, WorkerResponse,
+    Admission, FinishedTask, JobId, JobSpec, ListedWorker, ListedWorkerState, Now, RunningTask, Scheduler,
+    SchedulerConfig, TaskId, WorkerCall, WorkerReport, WorkerRequest, WorkerResponse,
 };
 use std::collections::BTreeMap;
 
@@ -103,8 +103,7 @@
     }
 
     pub fn drain_calls(&mut self) -> Vec<WorkerCall> {
-        let effects = self.scheduler.drain_effects();
-        let calls: Vec<WorkerCall> = effects.into_iter().map(|Effect::CallWorker(call)| call).collect();
+        let calls = self.scheduler.take_calls();
         let is_waiting =
             |call: &&WorkerCall| matches!(call.request, WorkerRequest::RenewLease { wait_ms: 1.., .. });
         let waiting = calls.iter().filter(is_waiting);
--- a/crates/cluster/job-scheduler/tests/common/simulated.rs
+++ b/crates/cluster/job-scheduler/tests/common/simulated.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use spanlead_cluster_testbed::{SafetyChecker, SimulatedWorker, finish_gangs};
 use spanlead_job_scheduler::{
-    Admission, Effect, JobId, JobSpec, JobState, ListedWorker, Now, RecordChange, Scheduler, WorkerCall,
+    Admission, JobId, JobSpec, JobState, ListedWorker, Now, RecordChange, Scheduler, WorkerCall,
     WorkerRequest, WorkerResponse,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -238,7 +238,7 @@
         if self.pending_batches.is_empty() {
             scheduler.handle_committed(now, self.last_batch);
         }
-        for Effect::CallWorker(call) in scheduler.drain_effects() {
+        for call in scheduler.take_calls() {
             self.send_call(call);
         }
     }
--- a/crates/cluster/job-scheduler/tests/golden.rs
+++ b/crates/cluster/job-scheduler/tests/golden.rs
@@ -9,9 +9,9 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 use spanlead_job_scheduler::{
-    Admission, Effect, FinishedTask, JobId, JobOutcome, JobSpec, JobState, ListedWorker, ListedWorkerState,
-    Now, QueueId, QueuePolicy, RecordChange, RunningTask, Scheduler, SchedulerConfig, Stage, TaskId,
-    WorkerReport, WorkerRequest, WorkerResponse, is_readable_record,
+    Admission, FinishedTask, JobId, JobOutcome, JobSpec, JobState, ListedWorker, ListedWorkerState, Now,
+    QueueId, QueuePolicy, RecordChange, RunningTask, Scheduler, SchedulerConfig, Stage, TaskId, WorkerReport,
+    WorkerRequest, WorkerResponse, is_readable_record,
 };
 use std::fmt::Write as _;
 use support::{NamedBytes, bytes_of, compare_bytes, compare_text, read, read_bytes, to_hex};
@@ -388,8 +388,8 @@
         }
         self.scheduler.assign_batch(self.sequence);
         self.scheduler.handle_committed(now(self.monotonic_ms), self.sequence);
-        let effects = self.scheduler.drain_effects().into_iter();
-        effects.map(|Effect::CallWorker(call)| (call.worker_id.to_string(), call.request)).collect()
+        let calls = self.scheduler.take_calls().into_iter();
+        calls.map(|call| (call.worker_id.to_string(), call.request)).collect()
     }
 
     fn answer(&mut self, worker: &str, request: &WorkerRequest, response: WorkerResponse) {
