Shorten renewals from fifteen lost in a thousand on, and bound them by 2,000 a second then

Change: the shorter wait begins at 15 of 1,000 and is paced by 2,000 a second instead of 500; the time-out is at least that of a call that need not wait. Test: renewals_are_short_while_many_have_no_response.

--- a/crates/cluster/job-scheduler/src/renewal.rs
+++ b/crates/cluster/job-scheduler/src/renewal.rs
@@ -13,9 +13,9 @@
 /// renewal, unless that is short.
 const LOSSY_BUSY_WAIT_MS: u64 = 100;
 /// The share of renewals without response from which on they count as many.
-const LOSSY_RATE: f64 = 0.08;
+const LOSSY_RATE: f64 = 0.015;
 /// The weight of one renewal in that share.
-const LOSS_WEIGHT: f64 = 0.02;
+const LOSS_WEIGHT: f64 = 0.005;
 /// The longest time that workers wait, milliseconds (the platform's bound).
 const MAX_WAIT_MS: u64 = 2_000;
 /// How long a renewal waits where nothing runs, milliseconds.
@@ -25,6 +25,9 @@
 /// Renewals a second without an end to report, where something runs: beyond that they wait for
 /// longer.
 const MAX_BUSY_RENEWALS_PER_S: u64 = 500;
+/// The same while many renewals have no response: a worker with many runs answers for an end sooner
+/// in any case, so that few of these are made beside.
+const MAX_LOSSY_RENEWALS_PER_S: u64 = 2_000;
 /// The same where nothing runs.
 const MAX_IDLE_RENEWALS_PER_S: u64 = 120;
 /// Of the calls that may be in flight, the share that renewals of busy workers may take: the rest
@@ -83,9 +86,12 @@
     /// renewals have no response.
     pub(crate) fn new(busy_workers: u64, idle_workers: u64, is_lossy: bool) -> Self {
         let interval_ms = |workers: u64, per_second: u64| workers * 1_000 / per_second;
-        let busy_interval_ms = interval_ms(busy_workers, MAX_BUSY_RENEWALS_PER_S);
-        let min_busy_wait_ms = if is_lossy { LOSSY_BUSY_WAIT_MS } else { BUSY_WAIT_MS };
-        let busy_wait_ms = busy_interval_ms.clamp(min_busy_wait_ms, MAX_WAIT_MS);
+        let (max_per_s, min_wait_ms) = if is_lossy {
+            (MAX_LOSSY_RENEWALS_PER_S, LOSSY_BUSY_WAIT_MS)
+        } else {
+            (MAX_BUSY_RENEWALS_PER_S, BUSY_WAIT_MS)
+        };
+        let busy_wait_ms = interval_ms(busy_workers, max_per_s).clamp(min_wait_ms, MAX_WAIT_MS);
         let idle_interval_ms = interval_ms(idle_workers, MAX_IDLE_RENEWALS_PER_S);
         if idle_interval_ms <= IDLE_WAIT_MS {
             return RenewalPace { busy_wait_ms, idle_wait_ms: IDLE_WAIT_MS, idle_pause_ms: 0 };
--- a/crates/cluster/job-scheduler/src/scheduler/renewals.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/renewals.rs
@@ -8,7 +8,8 @@
 
 /// How long a renewal may take beyond the time that it waits at the worker, milliseconds.
 pub(super) const RENEWAL_TIMEOUT_MS: u64 = 400;
-/// The same while many renewals have no response, milliseconds.
+/// The same while many renewals have no response, milliseconds; at least the time-out of a call that
+/// need not wait.
 const LOSSY_RENEWAL_TIMEOUT_MS: u64 = 80;
 /// The lease on all that runs on a worker, milliseconds: what is cut off is known to be over after
 /// this.
@@ -71,7 +72,11 @@
         let request = self.renewal_request(now_ms, index, wait_ms);
         let serial = self.renewals.serial();
         self.change_renewal(index, |lease| lease.mark_renewal_sent(serial));
-        let timeout_ms = if self.renewals.is_lossy() { LOSSY_RENEWAL_TIMEOUT_MS } else { RENEWAL_TIMEOUT_MS };
+        let timeout_ms = if self.renewals.is_lossy() {
+            LOSSY_RENEWAL_TIMEOUT_MS.max(self.call_timeout_ms(index))
+        } else {
+            RENEWAL_TIMEOUT_MS
+        };
         self.calls.send(&self.workers[index], request, wait_ms + timeout_ms);
     }
 
--- a/crates/cluster/job-scheduler/tests/unanswered_calls.rs
+++ b/crates/cluster/job-scheduler/tests/unanswered_calls.rs
@@ -3,8 +3,12 @@
 use common::{
     ManualScheduler, ONE_TASK, SMALL_TASK, is_start, is_stop, renewal_to, single_start, started_run, starts,
 };
-use spanlead_job_scheduler::{JobId, JobOutcome, JobState, WorkerCall, WorkerRequest, WorkerResponse};
+use spanlead_job_scheduler::{
+    JobId, JobOutcome, JobState, TaskId, WorkerCall, WorkerRequest, WorkerResponse,
+};
 
+/// Workers on each of which something runs, in the tests of renewals.
+const BUSY_WORKERS: usize = 20;
 const SPECULATIVE_TASK: &str =
     r#"{"spec":"x","stages":[{"count":1,"cpu":600,"memMb":10,"estRuntimeMs":500,"speculative":true}]}"#;
 
@@ -283,3 +287,56 @@
     assert!((130..300).contains(&premature), "timed out too soon: {premature}");
     assert_eq!(timeout_after(&[(40, AcknowledgedAfter(2)), (100, NoResponse)]), 300, "most timed out");
 }
+
+/// The wait of the last renewal after rounds in which every worker's renewal is answered, or one of
+/// four has no response, milliseconds.
+fn renewal_wait_after(manual: &mut ManualScheduler, rounds: usize, loses_every_fourth: bool) -> u64 {
+    let mut last_wait_ms = 0;
+    for number in 0..rounds * BUSY_WORKERS {
+        let worker_id = format!("i-{}", number % BUSY_WORKERS);
+        let call = manual.waiting_renewal(&worker_id);
+        let WorkerRequest::RenewLease { wait_ms, .. } = call.request else { panic!("not a renewal") };
+        last_wait_ms = wait_ms;
+        if loses_every_fourth && number.is_multiple_of(4) {
+            manual.respond(&call, WorkerResponse::NoResponse);
+            answer_queries(manual, &worker_id);
+        } else {
+            manual.report(&call, &runs_on(manual, &worker_id), &[]);
+        }
+    }
+    last_wait_ms
+}
+
+/// Answers what a worker is asked without a wait, after a call had no response.
+fn answer_queries(manual: &mut ManualScheduler, worker_id: &str) {
+    let is_query = |call: &&WorkerCall| {
+        *call.worker_id == *worker_id && matches!(call.request, WorkerRequest::RenewLease { wait_ms: 0, .. })
+    };
+    for query in manual.advance(20).iter().filter(is_query) {
+        manual.report(query, &runs_on(manual, worker_id), &[]);
+    }
+}
+
+fn runs_on(manual: &ManualScheduler, worker_id: &str) -> Vec<(TaskId, u32)> {
+    let job = manual.scheduler.inspect_job(JobId(1)).expect("known");
+    let runs = job.open_tasks.iter().flat_map(|task| {
+        let here = task.active_runs.iter().filter(|run| run.worker_id == worker_id);
+        here.map(|run| (TaskId::parse(&task.task).expect("a name"), run.run))
+    });
+    runs.collect()
+}
+
+/// An end is learned with the next response: while responses are lost, renewals are short.
+#[test]
+fn renewals_are_short_while_many_have_no_response() {
+    let mut manual = ManualScheduler::new(BUSY_WORKERS);
+    let lasting = format!("\"count\":{BUSY_WORKERS},\"longRunning\":true");
+    manual.submit(1, &ONE_TASK.replace("\"count\":1", &lasting));
+    for start in starts(&manual.commit()) {
+        manual.acknowledge(start);
+    }
+
+    assert_eq!(renewal_wait_after(&mut manual, 3, false), 600, "all are answered");
+    assert_eq!(renewal_wait_after(&mut manual, 20, true), 100, "a quarter is lost");
+    assert_eq!(renewal_wait_after(&mut manual, 60, false), 600, "all are answered again");
+}
