--- a/crates/service/inventory/src/service.rs
+++ b/crates/service/inventory/src/service.rs
@@ -12,24 +12,30 @@
 pub use crate::manager::{ConfirmVersionError, ConfirmedVersion, InventoryChange, VersionId};
 pub use crate::status::{InventoryStatus, UnusedVersionStatus, VersionStatus};
 
-/// Sends commands to the thread that owns the inventories.
+/// Sends commands to the thread that owns the inventories, which ends with the last clone.
 #[derive(Clone)]
 pub struct InventoryService {
-    commands: Sender<Command>,
+    commands: Arc<Sender<Command>>,
 }
 
 impl InventoryService {
     /// Starts the thread, which calls `on_change` whenever other versions are in use. It ends when
-    /// the last handle is dropped, but not where files are watched: the watcher keeps a handle.
+    /// the last handle is dropped.
     pub fn start(
         inventories: Vec<InventorySettings>,
         vocabulary: Vocabulary,
         on_change: impl Fn(InventoryChange) + Send + 'static,
     ) -> Self {
         let (commands, receiver) = channel();
-        let notifications = commands.clone();
+        let commands = Arc::new(commands);
+        // The thread owns the watcher, so a handle of it would keep the thread from ending.
+        let notifications = Arc::downgrade(&commands);
         thread::spawn(move || {
-            let changed = move || drop(notifications.send(Command::CheckFiles { complete: false }));
+            let changed = move || {
+                if let Some(commands) = notifications.upgrade() {
+                    let _ = commands.send(Command::CheckFiles { complete: false });
+                }
+            };
             let notifier = ChangeNotifier::start(&inventories, changed);
             let has_notifications = notifier.is_some();
             let manage = |settings| ManagedInventory::new(settings, has_notifications);
--- a/crates/service/inventory/tests/desk.rs
+++ b/crates/service/inventory/tests/desk.rs
@@ -9,7 +9,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -95,6 +95,21 @@
     merged_inventory.zone(host)?.value.map(|z| z.to_string())
 }
 
+/// The thread owns the watcher of the files, which must not keep it from ending.
+#[test]
+fn the_thread_ends_with_the_last_handle_where_files_are_watched() {
+    let office = Office::with(&hosts(0, 10, "kista"), "");
+    let inventory = settings(office.folder.path(), "");
+    assert_eq!(inventory.change_detection, ChangeDetection::Notify);
+    office.next();
+    let Office { folder: _folder, service, news } = office;
+
+    drop(service);
+
+    // The thread owns the sending end.
+    assert_eq!(news.recv_timeout(PATIENCE).err(), Some(RecvTimeoutError::Disconnected));
+}
+
 #[test]
 fn a_file_that_is_replaced_is_taken_whole() {
     let office = Office::with(&hosts(0, 10, "kista"), "");
