Take no losses of calls for the network's while this process is slow, and split the validation of inventories

Where the process is slow, responses come after the short time-outs: that was counted as loss, which made renewals shorter and more, and stopped runs that were there. Change: while ticks come late by 15 ms in the smoothed mean, no loss is counted, renewals keep their length, and a start that times out is queried first. Tests for both. validate.rs of worker-attributes (444 lines, a function of 103, errors as strings) is four modules with typed errors: raw_inventory, parse_value, record_merge, validate. Texts and behaviour unchanged; the inventory's tests are run before landing.

--- a/crates/cluster/job-scheduler/src/scheduler/renewals.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/renewals.rs
@@ -47,6 +47,12 @@
         self.renewals.finish_check(first_skipped);
     }
 
+    /// Whether many renewals have no response for another reason than that this process is slow: then
+    /// more of them would make it slower.
+    fn has_lossy_renewals(&self) -> bool {
+        self.renewals.is_lossy() && !self.throttle.is_process_slow()
+    }
+
     /// Changes a worker's renewal; the only way to do so, as the schedule must know when it is due.
     pub(super) fn change_renewal<R>(
         &mut self,
@@ -65,14 +71,14 @@
         for worker in self.workers.iter().filter(|worker| worker.is_callable()) {
             if worker.allocation.is_empty() { idle += 1 } else { busy += 1 }
         }
-        RenewalPace::new(busy, idle, self.renewals.is_lossy())
+        RenewalPace::new(busy, idle, self.has_lossy_renewals())
     }
 
     fn send_renewal(&mut self, now_ms: u64, index: WorkerIndex, wait_ms: u64) {
         let request = self.renewal_request(now_ms, index, wait_ms);
         let serial = self.renewals.serial();
         self.change_renewal(index, |lease| lease.mark_renewal_sent(serial));
-        let timeout_ms = if self.renewals.is_lossy() {
+        let timeout_ms = if self.has_lossy_renewals() {
             LOSSY_RENEWAL_TIMEOUT_MS.max(self.call_timeout_ms(index))
         } else {
             RENEWAL_TIMEOUT_MS
@@ -118,7 +124,7 @@
     ) {
         if self.change_renewal(index, |lease| lease.complete_renewal(serial)) {
             let worker = &self.workers[index];
-            if worker.is_reachable() {
+            if worker.is_reachable() && !self.throttle.is_process_slow() {
                 self.renewals.record_result(*response != WorkerResponse::NoResponse);
             }
             let pause_ms = match response {
--- a/crates/cluster/job-scheduler/src/scheduler/starts.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/starts.rs
@@ -89,7 +89,8 @@
         self.metrics.start_timeouts += 1;
         self.hedge(now.monotonic_ms, id.task);
         self.record_missed_call(now.monotonic_ms, worker);
-        if self.timeouts.are_reliable() && self.jobs.stage(id.task).is_some_and(is_cheap_to_restart) {
+        let is_right = self.timeouts.are_reliable() && !self.throttle.is_process_slow();
+        if is_right && self.jobs.stage(id.task).is_some_and(is_cheap_to_restart) {
             self.stop_run(now.monotonic_ms, id);
         }
         true
--- a/crates/cluster/job-scheduler/tests/unanswered_calls.rs
+++ b/crates/cluster/job-scheduler/tests/unanswered_calls.rs
@@ -50,6 +50,27 @@
     assert_run_goes_on(&mut manual);
 }
 
+/// While this process is slow, a response may be on its way: the run is not stopped before a query
+/// shows that it is not there.
+#[test]
+fn slow_scheduler_does_not_stop_a_run_whose_start_timed_out_at_once() {
+    const LATE_MS: u64 = 50;
+    let mut manual = ManualScheduler::new(2);
+    for _ in 0..10 {
+        manual.scheduler.record_tick_lateness(LATE_MS);
+    }
+    manual.submit(1, ONE_TASK);
+    let start = single_start(&manual.commit());
+
+    manual.respond(&start, WorkerResponse::NoResponse);
+    let calls = manual.commit();
+    assert!(!calls.iter().any(is_stop), "{calls:?}");
+    let query = renewal_to(&calls, &start.worker_id).expect("a query").clone();
+    manual.report(&query, &[started_run(&start)], &[]);
+
+    assert_run_goes_on(&mut manual);
+}
+
 /// Nothing waits for the query: the stop is sent with it. The task starts again only when both the
 /// stop was acknowledged and a later report does not list the run.
 #[test]
@@ -338,5 +359,12 @@
 
     assert_eq!(renewal_wait_after(&mut manual, 3, false), 600, "all are answered");
     assert_eq!(renewal_wait_after(&mut manual, 20, true), 100, "a quarter is lost");
+    for _ in 0..10 {
+        manual.scheduler.record_tick_lateness(50);
+    }
+    assert_eq!(renewal_wait_after(&mut manual, 2, true), 600, "it is this process that is slow");
+    for _ in 0..20 {
+        manual.scheduler.record_tick_lateness(0);
+    }
     assert_eq!(renewal_wait_after(&mut manual, 60, false), 600, "all are answered again");
 }
--- a/crates/service/worker-attributes/src/lib.rs
+++ b/crates/service/worker-attributes/src/lib.rs
@@ -16,7 +16,10 @@
 mod host_name;
 mod host_record;
 mod merged_inventory;
+mod parse_value;
+mod raw_inventory;
 mod reconcile;
+mod record_merge;
 mod schema;
 mod validate;
 mod version;
@@ -25,12 +28,13 @@
 pub use host_name::{HostNameError, normalize_host_name};
 pub use host_record::{Attribute, AttributeValue, HostRecord, Labels};
 pub use merged_inventory::{DefaultAttributes, InventorySource, MergedInventory, ResolvedValue};
+pub use raw_inventory::{Precedence, RawHost, RawInventory, RawValue, Statement};
 pub use reconcile::{
     AttributeProvenance, Finding, FindingKind, LiveHost, ReconciliationCounts, ReconciliationReport,
     provenance, reconcile,
 };
 pub use schema::{Schema, SchemaError, Vocabulary, schema_document};
-pub use validate::{Precedence, RawHost, RawInventory, RawValue, Statement, ValidatedInventory, validate};
+pub use validate::{ValidatedInventory, validate};
 pub use version::{
     Change, ConfirmError, InventoryVersions, PendingVersion, RejectedVersion, UpdateLimits, UpdateOutcome,
     Version, changes_between, count_changed_hosts,
