Wait in the reload's test until the list is taken in

The watch calls again before the scheduler has taken the list in that it brought; a reload at that moment goes on from what the scheduler has, 42, and asks for 43 once more: nothing is lost. The test now adds a worker by each list and waits until it is known, without a change of the program; what it asserts stays.

--- a/crates/service/spanlead/tests/configuration_reload.rs
+++ b/crates/service/spanlead/tests/configuration_reload.rs
@@ -20,12 +20,16 @@
     scheduler.reload(&config(nobody(), "").replace(r#""sockets":128"#, r#""sockets":"many""#));
     let faulty = scheduler.logged("ERROR");
     assert!(faulty.contains("configuration key `limits.sockets`"), "{faulty}");
-    for (seq, moved) in [(42, Server::start()), (43, Server::start())] {
+    for (seq, members, moved) in [(42, 2, Server::start()), (43, 3, Server::start())] {
         scheduler.reload(&config(moved.addr, ""));
         let call = moved.next();
         assert_eq!(call.message.start, format!("GET /v1/servers?index={seq}&wait=0 HTTP/1.1"));
-        call.reply("200 OK", "", r#"{"seq":43,"whole":false,"hosts":[]}"#);
+        let host = moved.entry(&format!("s-{seq}"), "active");
+        call.reply("200 OK", "", &format!(r#"{{"seq":43,"whole":false,"hosts":[{host}]}}"#));
         assert_eq!(moved.next().message.start, "GET /v1/servers?index=43&wait=4000 HTTP/1.1");
+        // The watch calls again before the scheduler has taken the list in, and a reload goes on
+        // from what the scheduler has.
+        await_members(&scheduler, members);
     }
     discovery.ended();
     assert!(discovery.unasked());
@@ -33,6 +37,15 @@
     assert_eq!(client.answer().body, "r");
 }
 
+/// Waits until the scheduler knows so many workers.
+fn await_members(scheduler: &Scheduler, members: usize) {
+    let until = Instant::now() + Duration::from_secs(20);
+    let wanted = format!(r#""members":{members},"#);
+    while !scheduler.operate("GET /ops/stats").contains(&wanted) {
+        assert!(Instant::now() < until, "{members} workers are not known");
+    }
+}
+
 // Guards new settings under load: classes come and go and their rules change, from then on. A job
 // that is open keeps the rules and the attempts that it came under, and a dropped class its counts.
 #[test]
