job-scheduler: a partial report is no proof that a run is gone (TWICE)

Cause: a worker lists at most 500 ends in a report. end_missing_runs took a run that is neither listed as running nor as ended for one that never began, so a task whose end was beyond the 500 was queued again; resolve_timed_out_starts took such a report for proof in the same way. The check for runs of an earlier term was tied to the first report of a worker.

Change: WorkerReport::lists_all_ends, set from the length of the list on the wire before unreadable entries are dropped; only a report with all ends shows that a run is absent, in both places. Why it works: a worker sends the next ends once the listed ones are acknowledged, so a report with fewer than 500 follows and lists every end that was not acknowledged; until then the run keeps its place and its task waits. The check of earlier terms holds for every report of this term, since each shows that the worker has seen its fencing token. The debug line of a first report now has the numbers listed.

--- a/crates/cluster/control-plane/src/worker_client/messages.rs
+++ b/crates/cluster/control-plane/src/worker_client/messages.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use spanlead_job_scheduler::{FinishedTask, RunningTask, TaskId, WorkerCall, WorkerReport, WorkerRequest};
 
+/// The number of run ends that a worker lists in one report at most.
+const MAX_REPORTED_ENDS: usize = 500;
+
 /// The path and the body of a request.
 pub(super) struct RequestContent {
     pub(super) path: &'static str,
@@ -111,6 +114,8 @@
     /// Converts the response to a lease renewal into a report. Tasks whose IDs can't be parsed are
     /// omitted: they do not belong to this scheduler.
     pub(super) fn into_report(self) -> WorkerReport {
+        // The limit applies to all listed ends, including those that are omitted below.
+        let lists_all_ends = self.finished.len() < MAX_REPORTED_ENDS;
         let running = self.running.into_iter().filter_map(|RunningEntry(task, run, checkpoint, percent)| {
             Some(RunningTask { task: TaskId::parse(&task)?, run, checkpoint, progress_percent: percent })
         });
@@ -122,6 +127,7 @@
             clock_ms: self.clock_ms,
             running: running.collect(),
             finished: finished.collect(),
+            lists_all_ends,
             drain_remaining_ms: self.drain_remaining_ms,
         }
     }
--- a/crates/cluster/control-plane/tests/golden.rs
+++ b/crates/cluster/control-plane/tests/golden.rs
@@ -126,10 +126,39 @@
         outcome: "failed".into(),
         checkpoint: "checkpoint-1".into(),
     }];
-    let report = WorkerReport { clock_ms: 987_654, running, finished, drain_remaining_ms: Some(4_321) };
+    let report = WorkerReport {
+        clock_ms: 987_654,
+        running,
+        finished,
+        lists_all_ends: true,
+        drain_remaining_ms: Some(4_321),
+    };
     assert_eq!(response, WorkerResponse::Report(report));
 }
 
+/// Guards against taking a full list of ends for a complete one, also if some of its ends can't be
+/// parsed: further ends may wait at the worker.
+#[test]
+fn report_with_500_ends_does_not_list_all_ends() {
+    let renewal = requests().pop().expect("the last request is a renewal");
+    let reported = |ends: &[String]| {
+        let body = format!(r#"{{"clockMs":1,"running":[],"finished":[{}]}}"#, ends.join(","));
+        match call(renewal.clone(), "200 OK", &body).0 {
+            WorkerResponse::Report(report) => (report.finished.len(), report.lists_all_ends),
+            response => panic!("expected a report: {response:?}"),
+        }
+    };
+    let mut ends: Vec<String> =
+        (1..=499).map(|number| format!(r#"[{number},"{TASK}",1,"done",""]"#)).collect();
+    assert_eq!(reported(&ends), (499, true));
+
+    ends.push(r#"[500,"not a task",1,"done",""]"#.to_owned());
+    assert_eq!(reported(&ends), (499, false), "the last end can't be parsed");
+
+    ends[499] = format!(r#"[500,"{TASK}",1,"done",""]"#);
+    assert_eq!(reported(&ends), (500, false));
+}
+
 #[test]
 fn worker_list_request_matches_the_golden_file_and_the_golden_list_is_parsed() {
     let (address, requests) = serve("200 OK", read_text("platform_list.json"));
--- a/crates/cluster/control-plane/tests/golden/folder.rs
+++ b/crates/cluster/control-plane/tests/golden/folder.rs
@@ -256,6 +256,7 @@
                     clock_ms,
                     running,
                     finished,
+                    lists_all_ends: true,
                     drain_remaining_ms: None,
                 });
             }
--- a/crates/cluster/job-scheduler/src/jobs/run.rs
+++ b/crates/cluster/job-scheduler/src/jobs/run.rs
@@ -162,14 +162,15 @@
 
     // Reports.
 
-    /// Whether a report with this serial number resolves a timed-out start, that is, shows whether
-    /// it was carried out. Clears the time-out, so that it is resolved only once.
-    pub(crate) fn take_timeout_resolved_by(&mut self, serial: u64) -> bool {
-        if self.timed_out_at_serial.is_none_or(|timed_out_at| timed_out_at >= serial) {
-            return false;
-        }
+    /// Whether the start timed out before the request with this serial number, and is not resolved
+    /// yet. The report then shows whether it was carried out, if it lists the run or all ends.
+    pub(crate) fn has_timed_out_before(&self, serial: u64) -> bool {
+        self.timed_out_at_serial.is_some_and(|timed_out_at| timed_out_at < serial)
+    }
+
+    /// Clears the time-out of the start, since a report showed whether it was carried out.
+    pub(crate) fn resolve_timeout(&mut self) {
         self.timed_out_at_serial = None;
-        true
     }
 
     /// Records that reports with a higher serial number show whether the worker has the run;
--- a/crates/cluster/job-scheduler/src/protocol.rs
+++ b/crates/cluster/job-scheduler/src/protocol.rs
@@ -93,8 +93,13 @@
     pub clock_ms: u64,
     /// The tasks that are running on the worker.
     pub running: Vec<RunningTask>,
-    /// The runs that ended on the worker and whose ends are not acknowledged yet.
+    /// Runs that ended on the worker and whose ends are not acknowledged yet, in ascending order of
+    /// their numbers.
     pub finished: Vec<FinishedTask>,
+    /// Whether `finished` holds all such runs. Otherwise a run in neither list may have ended: a
+    /// report has room for a limited number of ends, and the next ones follow once these are
+    /// acknowledged.
+    pub lists_all_ends: bool,
     /// For a draining worker, the time for which it continues to serve, milliseconds.
     pub drain_remaining_ms: Option<u64>,
 }
--- a/crates/cluster/job-scheduler/src/scheduler/reports.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/reports.rs
@@ -15,20 +15,23 @@
 
 /// A worker's report with the serial of the request that it answers. It does not show events later
 /// than that request.
-#[derive(Clone, Copy, Debug)]
+///
+/// Invariant: only a report with all ends proves that a run is not on the worker. A partial one
+/// proves what it lists and nothing about other runs, whose ends may follow in the next report.
+#[derive(Clone, Debug)]
 struct ReceivedReport<'a> {
     now: Now,
     worker: WorkerIndex,
     serial: u64,
-    /// Whether this is the worker's first report in this term.
-    is_first: bool,
     report: &'a WorkerReport,
+    /// The runs that the report lists as active.
+    running: BTreeSet<RunId>,
 }
 
 impl ReceivedReport<'_> {
-    /// Whether the report lists the run as ended.
-    fn has_ended(&self, run: RunId) -> bool {
-        self.report.finished.iter().any(|finished| run_id(finished) == run)
+    /// Whether the report lists the run as active or as ended.
+    fn lists(&self, run: RunId) -> bool {
+        self.running.contains(&run) || self.report.finished.iter().any(|finished| run_id(finished) == run)
     }
 }
 
@@ -42,12 +45,16 @@
     pub(super) fn handle_report(&mut self, now: Now, index: WorkerIndex, serial: u64, report: &WorkerReport) {
         let worker = &mut self.workers[index];
         let is_first = worker.mark_term_seen();
-        if is_first {
+        if is_first || !report.lists_all_ends {
             log::debug!(
-                "first report of worker in this term worker={} running={}",
+                "report received worker={} is_first={is_first} running={} ended={} lists_all_ends={}",
                 worker.id(),
-                report.running.len()
+                report.running.len(),
+                report.finished.len(),
+                report.lists_all_ends
             );
+        }
+        if is_first {
             self.pending.capacity_changed();
         }
         if report.drain_remaining_ms.is_some() && worker.begin_draining() {
@@ -55,27 +62,29 @@
         }
         let running = report.running.iter().map(|running| RunId { task: running.task, run: running.run });
         let running: BTreeSet<RunId> = running.collect();
-        let received = ReceivedReport { now, worker: index, serial, is_first, report };
-        self.resolve_timed_out_starts(&received, &running);
+        let received = ReceivedReport { now, worker: index, serial, report, running };
+        self.resolve_timed_out_starts(&received);
         self.end_finished_runs(&received);
         self.update_running(&received);
-        self.end_missing_runs(&received, &running);
+        self.end_missing_runs(&received);
         self.stop_orphans(&received);
         self.defer_acknowledgement(now, index);
     }
 
-    /// Resolves timed-out starts by the report: a listed run was started, and any other run is
-    /// stopped, so that its start can no longer be carried out.
-    fn resolve_timed_out_starts(&mut self, received: &ReceivedReport<'_>, running: &BTreeSet<RunId>) {
+    /// Resolves timed-out starts by the report: a listed run was started. If the report lists all
+    /// ends, any other run is stopped, so that its start can no longer be carried out.
+    fn resolve_timed_out_starts(&mut self, received: &ReceivedReport<'_>) {
         let mut not_carried_out = Vec::new();
         for id in self.workers[received.worker].allocation.runs() {
             let Some(run) = self.jobs.run_mut(*id) else { continue };
-            if !run.take_timeout_resolved_by(received.serial) {
+            if !run.has_timed_out_before(received.serial) {
                 continue;
             }
-            if running.contains(id) || received.has_ended(*id) {
+            if received.lists(*id) {
+                run.resolve_timeout();
                 run.acknowledge_at(received.serial);
-            } else {
+            } else if received.report.lists_all_ends {
+                run.resolve_timeout();
                 not_carried_out.push(*id);
             }
         }
@@ -121,15 +130,18 @@
     }
 
     /// Ends runs that the report lists neither as active nor as ended: they never began, or have
-    /// ended without a reported end.
-    fn end_missing_runs(&mut self, received: &ReceivedReport<'_>, running: &BTreeSet<RunId>) {
+    /// ended without a reported end. A report without all ends shows neither.
+    fn end_missing_runs(&mut self, received: &ReceivedReport<'_>) {
+        if !received.report.lists_all_ends {
+            return;
+        }
         let runs = self.workers[received.worker].allocation.runs();
-        let missing: Vec<RunId> = runs.difference(running).copied().collect();
+        let missing: Vec<RunId> = runs.difference(&received.running).copied().collect();
         for id in missing {
             let Some(run) = self.jobs.run(id) else { continue };
             // Starts of an earlier term have no effect once the worker responded to a renewal of
-            // this term.
-            let is_fenced_off = received.is_first && run.may_be_of_earlier_term(self.term_started_at_ms);
+            // this term, as it has here.
+            let is_fenced_off = run.may_be_of_earlier_term(self.term_started_at_ms);
             if run.is_observable_at(received.serial) || is_fenced_off {
                 let checkpoint = run.checkpoint().clone();
                 log::debug!("run missing in report {id} worker={}", self.workers[received.worker].id());
--- a/crates/cluster/job-scheduler/tests/common/manual.rs
+++ b/crates/cluster/job-scheduler/tests/common/manual.rs
@@ -128,7 +128,7 @@
         self.respond(call, WorkerResponse::Acknowledged { clock_ms });
     }
 
-    /// Responds to a renewal or query with the active runs (task, run) and the run ends (number,
+    /// Responds to a renewal or query with the active runs (task, run) and all run ends (number,
     /// task, run, outcome).
     pub fn report(
         &mut self,
@@ -136,6 +136,26 @@
         running: &[(TaskId, u32)],
         finished: &[(u64, TaskId, u32, &str)],
     ) {
+        let report = self.worker_report(running, finished);
+        self.respond(call, WorkerResponse::Report(report));
+    }
+
+    /// Responds like [`ManualScheduler::report`], but with only the first of the run ends.
+    pub fn report_first_ends(
+        &mut self,
+        call: &WorkerCall,
+        running: &[(TaskId, u32)],
+        finished: &[(u64, TaskId, u32, &str)],
+    ) {
+        let report = WorkerReport { lists_all_ends: false, ..self.worker_report(running, finished) };
+        self.respond(call, WorkerResponse::Report(report));
+    }
+
+    fn worker_report(
+        &self,
+        running: &[(TaskId, u32)],
+        finished: &[(u64, TaskId, u32, &str)],
+    ) -> WorkerReport {
         let running = running.iter().map(|(task, run)| RunningTask {
             task: *task,
             run: *run,
@@ -149,13 +169,13 @@
             outcome: (*outcome).into(),
             checkpoint: "".into(),
         });
-        let report = WorkerReport {
+        WorkerReport {
             clock_ms: self.worker_clock_ms(),
             running: running.collect(),
             finished: finished.collect(),
+            lists_all_ends: true,
             drain_remaining_ms: None,
-        };
-        self.respond(call, WorkerResponse::Report(report));
+        }
     }
 
     /// Reports the end of a stopped run, which frees its capacity, and commits the changes.
@@ -184,6 +204,15 @@
         self.recover().0
     }
 
+    /// Replaces the scheduler by one of the next term, recovered from all records that were
+    /// written. Its workers, the first `workers`, are listed and have not responded yet.
+    pub fn fail_over(&mut self, workers: usize) {
+        self.scheduler = self.successor();
+        self.batch = 0;
+        self.waiting_renewals.clear();
+        self.list_workers(workers);
+    }
+
     /// Whether a scheduler of the next term can read all records.
     pub fn recovers_all_records(&self) -> bool {
         self.recover().1.is_empty()
--- a/crates/cluster/job-scheduler/tests/common/simulated.rs
+++ b/crates/cluster/job-scheduler/tests/common/simulated.rs
@@ -152,9 +152,18 @@
 
     /// Replaces a worker with a new incarnation. The runs of the old one are lost.
     pub fn crash_worker(&mut self, index: usize) {
-        let incarnation = self.workers[index].incarnation + 1;
+        let SimulatedWorker { incarnation, max_reported_ends, .. } = self.workers[index];
         self.checker.record_crash(&self.workers[index].id);
-        self.workers[index] = SimulatedWorker::new(index, incarnation, self.now_ms, &mut self.rng);
+        let mut worker = SimulatedWorker::new(index, incarnation + 1, self.now_ms, &mut self.rng);
+        worker.max_reported_ends = max_reported_ends;
+        self.workers[index] = worker;
+    }
+
+    /// Limits the number of run ends that each worker lists in one report.
+    pub fn limit_reported_ends(&mut self, max_reported_ends: usize) {
+        for worker in &mut self.workers {
+            worker.max_reported_ends = max_reported_ends;
+        }
     }
 
     // Clients.
--- a/crates/cluster/job-scheduler/tests/golden.rs
+++ b/crates/cluster/job-scheduler/tests/golden.rs
@@ -456,6 +456,7 @@
                         clock_ms,
                         running,
                         finished,
+                        lists_all_ends: true,
                         drain_remaining_ms: None,
                     })
                 }
--- a/crates/cluster/job-scheduler/tests/simulation.rs
+++ b/crates/cluster/job-scheduler/tests/simulation.rs
@@ -4,6 +4,7 @@
 use common::SimulatedCluster;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use spanlead_cluster_testbed::MAX_REPORTED_ENDS;
 use spanlead_job_scheduler::{JobId, JobOutcome, JobSpec, JobState, Stage};
 
 const WORKERS: usize = 9;
@@ -59,10 +60,11 @@
 }
 
 /// Simulates random jobs and faults, checks the end states of the accepted jobs, and returns the
-/// number of starts.
-fn simulate(seed: u64) -> u64 {
+/// number of starts. Workers list at most `max_reported_ends` ends in a report.
+fn simulate(seed: u64, max_reported_ends: usize) -> u64 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xB0B);
     let mut cluster = SimulatedCluster::new(seed, WORKERS);
+    cluster.limit_reported_ends(max_reported_ends);
     cluster.run(1_500);
     let mut jobs: Vec<JobId> = Vec::new();
     for round in 0..ROUNDS {
@@ -112,9 +114,22 @@
     }
 }
 
-#[test]
-fn no_safety_property_is_violated_and_every_accepted_job_is_closed_under_random_faults() {
+/// Simulates all seeds, and asserts that the workers were not mostly idle.
+fn simulate_all_seeds(max_reported_ends: usize) {
     let seeds = std::env::var("SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(DEFAULT_SEEDS);
-    let starts: u64 = (0..seeds).map(simulate).sum();
+    let starts: u64 = (0..seeds).map(|seed| simulate(seed, max_reported_ends)).sum();
     assert!(starts > seeds * 200, "expected more than 200 starts per seed, got {starts} with {seeds} seeds");
 }
+
+#[test]
+fn no_safety_property_is_violated_and_every_accepted_job_is_closed_under_random_faults() {
+    simulate_all_seeds(MAX_REPORTED_ENDS);
+}
+
+/// Guards against taking a part of a worker's run ends for all of them: with one or two ends in a
+/// report, most reports after a failure are partial.
+#[test]
+fn no_safety_property_is_violated_if_reports_hold_only_some_of_the_run_ends() {
+    simulate_all_seeds(1);
+    simulate_all_seeds(2);
+}
--- a/crates/tools/cluster-testbed/src/lib.rs
+++ b/crates/tools/cluster-testbed/src/lib.rs
@@ -26,6 +26,6 @@
 pub use run_id::{RunEnd, RunId, RunOutcome};
 pub use safety_checker::SafetyChecker;
 pub use simulated_worker::{
-    CAPACITY, GANG_ASSEMBLY_TIMEOUT_MS, MAX_LEASE_MS, STOP_TIMEOUT_MS, SimulatedRun, SimulatedWorker,
-    WorkerCapacity,
+    CAPACITY, GANG_ASSEMBLY_TIMEOUT_MS, MAX_LEASE_MS, MAX_REPORTED_ENDS, STOP_TIMEOUT_MS, SimulatedRun,
+    SimulatedWorker, WorkerCapacity,
 };
--- a/crates/tools/cluster-testbed/src/simulated_worker.rs
+++ b/crates/tools/cluster-testbed/src/simulated_worker.rs
@@ -21,8 +21,8 @@
 const CLOCK_START_MS: u64 = 500;
 /// The share of runs that fail on a new worker.
 const FAILURE_SHARE: f64 = 0.02;
-/// The most ends in one report.
-const MAX_REPORTED_ENDS: usize = 500;
+/// The number of run ends that a worker lists in one report at most.
+pub const MAX_REPORTED_ENDS: usize = 500;
 /// Workers in one rack, which the labels name.
 const WORKERS_PER_RACK: usize = 3;
 /// The highest progress of a run that goes on, percent.
@@ -74,6 +74,8 @@
     pub running: Vec<SimulatedRun>,
     /// The ends that it still reports.
     pub finished: Vec<FinishedTask>,
+    /// The number of ends that it lists in one report at most.
+    pub max_reported_ends: usize,
     last_end: u64,
     acknowledged_end: u64,
     /// The highest run of each task that has ended or was stopped here.
@@ -100,6 +102,7 @@
             lease_expires_at_ms: 0,
             running: Vec::new(),
             finished: Vec::new(),
+            max_reported_ends: MAX_REPORTED_ENDS,
             last_end: 0,
             acknowledged_end: 0,
             ended_runs: BTreeMap::new(),
@@ -312,7 +315,8 @@
         self.finished.iter().any(|end| end.number > acknowledged_end)
     }
 
-    /// The response to a renewal: what runs, and what has ended after the acknowledged end.
+    /// The response to a renewal: what runs, and what has ended after the acknowledged end, as far as
+    /// it fits in one report.
     #[must_use]
     pub fn report(&self, now_ms: u64, acknowledged_end: u64) -> WorkerReport {
         let running = self.running.iter().map(|run| RunningTask {
@@ -321,11 +325,13 @@
             checkpoint: "".into(),
             progress_percent: progress_percent(run, now_ms) as f64,
         });
-        let finished = self.finished.iter().filter(|end| end.number > acknowledged_end);
+        let unacknowledged = self.finished.iter().filter(|end| end.number > acknowledged_end);
+        let finished: Vec<FinishedTask> = unacknowledged.take(self.max_reported_ends).cloned().collect();
         WorkerReport {
             clock_ms: self.clock_ms(now_ms),
             running: running.collect(),
-            finished: finished.take(MAX_REPORTED_ENDS).cloned().collect(),
+            lists_all_ends: finished.len() < self.max_reported_ends,
+            finished,
             drain_remaining_ms: None,
         }
     }
