--- a/crates/cluster/job-scheduler/src/jobs/job.rs
+++ b/crates/cluster/job-scheduler/src/jobs/job.rs
@@ -193,21 +193,16 @@
     }
 
     /// Opens the stages of an occurrence whose dependencies are done, and returns the units to be
-    /// queued: the tasks that are not done and have no active run; of a gang only the first task.
+    /// queued: the tasks, and the first tasks of gangs, that are not done and have no active run.
     pub(crate) fn open_ready_stages(&mut self, job: JobId, occurrence: u32) -> Vec<TaskId> {
         let stages = &self.record.spec.stages;
         let Some(progress) = self.occurrences.get_mut(&occurrence) else { return Vec::new() };
         let mut units = Vec::new();
         for number in progress.open_ready_stages(stages) {
-            let stage = &stages[usize::from(number)];
-            let tasks = progress.stages()[usize::from(number)].tasks();
-            let unit_count = if stage.gang { 1 } else { stage.count };
-            let is_pending = |index: &u32| {
-                let task = &tasks[*index as usize];
-                !task.is_done() && !task.has_active_runs()
-            };
-            let unit = |index| TaskId { job, occurrence, stage: number, index };
-            units.extend((0..unit_count).filter(is_pending).map(unit));
+            let first = TaskId { job, occurrence, stage: number, index: 0 };
+            let is_gang = stages[usize::from(number)].gang;
+            let pending = progress.stages()[usize::from(number)].pending_units(is_gang);
+            units.extend(pending.into_iter().map(|index| TaskId { index, ..first }));
         }
         units
     }
--- a/crates/cluster/job-scheduler/src/jobs/occurrence.rs
+++ b/crates/cluster/job-scheduler/src/jobs/occurrence.rs
@@ -36,6 +36,17 @@
         self.remaining == 0
     }
 
+    /// The indexes of the units to be queued: tasks that are not done and have no active run. A gang
+    /// is one unit, with the index of its first task, and has an active run if any member has one.
+    pub(super) fn pending_units(&self, is_gang: bool) -> Vec<u32> {
+        let is_pending = |task: &Task| !task.is_done() && !task.has_active_runs();
+        if is_gang {
+            return if self.tasks.iter().all(is_pending) { vec![0] } else { Vec::new() };
+        }
+        let pending = (0..).zip(&self.tasks).filter(|(_, task)| is_pending(task));
+        pending.map(|(index, _)| index).collect()
+    }
+
     /// Marks a task as done; `false` if it was done already or there is no such task.
     pub(super) fn mark_task_done(&mut self, index: u32) -> bool {
         let newly_done = self.tasks.get_mut(index as usize).is_some_and(Task::mark_done);
--- a/crates/cluster/job-scheduler/src/scheduler/occurrences.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/occurrences.rs
@@ -45,10 +45,11 @@
         self.pending.requeue(job.pending_key(unit), now_ms);
     }
 
-    /// Removes a task that is done from the pending queue.
+    /// Removes a task that is done, or its gang, from the pending queue.
     pub(super) fn remove_pending(&mut self, task: TaskId) {
+        let unit = self.jobs.placement_unit(task);
         if let Some(job) = self.jobs.get(task.job) {
-            self.pending.remove(&job.pending_key(task));
+            self.pending.remove(&job.pending_key(unit));
         }
     }
 
--- a/crates/cluster/job-scheduler/src/scheduler/run_ends.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/run_ends.rs
@@ -47,6 +47,7 @@
     fn handle_gang_run_end(&mut self, now: Now, ended: RunId, end: RunEnd) {
         let member = ended.task;
         if self.jobs.task(member).is_some_and(|task| task.is_done()) {
+            self.remove_pending(member);
             if end == RunEnd::Done {
                 self.handle_task_done(now, member);
             }
--- a/crates/cluster/job-scheduler/tests/lifecycle.rs
+++ b/crates/cluster/job-scheduler/tests/lifecycle.rs
@@ -1,7 +1,10 @@
 //! The guarantees for a job from its submission to its end, also across terms.
 mod common;
-use common::{CONFIG, ManualScheduler, ONE_TASK, first_task, is_stop, single_start, started_run, starts};
-use spanlead_job_scheduler::{JobId, JobOutcome, JobState, QueueId, WorkerCall};
+use common::{
+    CONFIG, ManualScheduler, ONE_TASK, first_task, is_stop, renewal_to, single_start, started_run, starts,
+};
+use spanlead_job_scheduler::{JobId, JobOutcome, JobState, QueueId, WorkerCall, WorkerResponse};
+use std::collections::BTreeMap;
 
 const LONG_RUNNING_TASK: &str =
     r#"{"spec":"x","stages":[{"count":1,"cpu":600,"memMb":10,"estRuntimeMs":100,"longRunning":true}]}"#;
@@ -121,6 +124,106 @@
     );
 }
 
+/// A gang of two tasks, each of which takes a whole worker of [`ManualScheduler`], and a task that
+/// depends on it.
+const GANG_THEN_TASK: &str = r#"{"spec":"x","stages":[
+    {"count":2,"cpu":600,"memMb":10,"estRuntimeMs":500,"gang":true},
+    {"count":1,"cpu":600,"memMb":10,"estRuntimeMs":500,"dependsOn":[0]}]}"#;
+
+/// The next renewals to all workers, within 5 s. No member of the gang may start meanwhile.
+fn renewals_without_gang_start(manual: &mut ManualScheduler, workers: usize) -> BTreeMap<String, WorkerCall> {
+    let mut renewals = BTreeMap::new();
+    for _ in 0..250 {
+        let calls = manual.advance(20);
+        assert_no_gang_start(&calls);
+        for index in 0..workers {
+            let worker_id = format!("i-{index}");
+            if let Some(renewal) = renewal_to(&calls, &worker_id) {
+                renewals.insert(worker_id, renewal.clone());
+            }
+        }
+        if renewals.len() == workers {
+            return renewals;
+        }
+    }
+    panic!("expected renewals to {workers} workers: {renewals:?}");
+}
+
+/// Asserts that only tasks of the second stage start.
+fn assert_no_gang_start(calls: &[WorkerCall]) {
+    let restarted: Vec<_> =
+        starts(calls).into_iter().filter(|start| started_run(start).0.stage == 0).collect();
+    assert!(restarted.is_empty(), "expected no start of the gang: {restarted:?}");
+}
+
+/// Guards against review/3: a gang with an active member was queued at recovery because its first
+/// task had no run, and started again after the member's end `done`.
+#[test]
+fn gang_that_is_done_after_a_failover_does_not_start_again() {
+    let mut manual = ManualScheduler::new(3);
+    manual.submit(1, GANG_THEN_TASK);
+    let calls = manual.commit();
+    let members: Vec<WorkerCall> = starts(&calls).into_iter().cloned().collect();
+    assert_eq!(members.len(), 2, "expected the start of both members: {calls:?}");
+    for member in &members {
+        manual.acknowledge(member);
+    }
+    manual.respond(&members[0], WorkerResponse::WrongIncarnation);
+    manual.commit();
+    manual.fail_over(3);
+
+    let mut renewals = renewals_without_gang_start(&mut manual, 3);
+    let last = renewals.remove(&*members[1].worker_id).expect("a renewal to the active member's worker");
+    for renewal in renewals.values() {
+        manual.report(renewal, &[], &[]);
+    }
+    assert_no_gang_start(&manual.advance(20));
+    let (task, run) = started_run(&members[1]);
+    manual.report(&last, &[], &[(1, task, run, "done")]);
+
+    let calls = manual.advance(20);
+    assert_no_gang_start(&calls);
+    assert_eq!(started_run(&single_start(&calls)).0.stage, 1, "the dependent task starts");
+}
+
+/// The same without a failover: the gang is queued after its runs were given up, and then one of
+/// them is reported as done.
+#[test]
+fn queued_gang_that_turns_out_to_be_done_does_not_start_again() {
+    let mut manual = ManualScheduler::new(2);
+    manual.submit(1, GANG_THEN_TASK);
+    let calls = manual.commit();
+    let members: Vec<WorkerCall> = starts(&calls).into_iter().cloned().collect();
+    for member in &members {
+        manual.acknowledge(member);
+    }
+    let lease_is_over = |manual: &ManualScheduler| {
+        let job = manual.scheduler.inspect_job(JobId(1)).expect("job 1 is known");
+        job.open_tasks.iter().all(|task| task.active_runs.is_empty())
+    };
+    let mut calls: Vec<WorkerCall> =
+        members.iter().map(|member| manual.take_waiting_renewal(&member.worker_id)).collect();
+    for _ in 0..1_000 {
+        for call in calls {
+            manual.respond(&call, WorkerResponse::NoResponse);
+        }
+        if lease_is_over(&manual) {
+            break;
+        }
+        calls = manual.advance(20);
+    }
+    assert!(lease_is_over(&manual), "the leases of unreachable workers expire");
+
+    let (task, run) = started_run(&members[0]);
+    let renewals = renewals_without_gang_start(&mut manual, 2);
+    manual.report(&renewals[&*members[0].worker_id], &[], &[(1, task, run, "done")]);
+    manual.report(&renewals[&*members[1].worker_id], &[], &[]);
+
+    for _ in 0..20 {
+        assert_no_gang_start(&manual.advance(20));
+    }
+}
+
 #[test]
 fn next_scheduler_recovers_the_job_and_its_active_run_from_the_records() {
     let mut manual = ManualScheduler::new(1);
