--- a/crates/cluster/control-plane/tests/golden/folder.rs
+++ b/crates/cluster/control-plane/tests/golden/folder.rs
@@ -193,6 +193,10 @@
             labels: vec!["rack-1".into()],
         };
         scheduler.update_workers(now(0), &[worker]);
+        // The golden folder is older than the records of worker classes, which have an example of
+        // their own in the scheduler's golden test.
+        let changes = scheduler.take_changes();
+        assert_eq!(changes.len(), 1, "expected one record, of the worker's class: {changes:?}");
         SchedulerRun {
             scheduler,
             monotonic_ms: 0,
--- a/crates/cluster/job-scheduler/src/events.rs
+++ b/crates/cluster/job-scheduler/src/events.rs
@@ -1,6 +1,6 @@
 //! The events from which the state of jobs, tasks and worker allocations is derived, and a log of
 //! the most recent ones.
-use crate::ids::{JobId, RunId, WorkerIndex};
+use crate::ids::{JobId, RunId, WorkerClassId, WorkerIndex};
 use crate::record::{JobOutcome, JobRecord};
 use compact_str::CompactString;
 use std::collections::VecDeque;
@@ -30,11 +30,32 @@
 /// A state change that must be durable. Applying the same events in order gives the same state.
 #[derive(Clone, Debug)]
 pub(crate) enum Event {
-    JobAccepted { job: JobId, record: Box<JobRecord> },
-    JobClosed { job: JobId, outcome: JobOutcome, closed_at_ms: u64 },
-    JobRemoved { job: JobId },
-    RunAssigned { run: RunId, worker: WorkerIndex },
-    RunEnded { run: RunId, end: RunEnd, checkpoint: CompactString },
+    JobAccepted {
+        job: JobId,
+        record: Box<JobRecord>,
+    },
+    JobClosed {
+        job: JobId,
+        outcome: JobOutcome,
+        closed_at_ms: u64,
+    },
+    JobRemoved {
+        job: JobId,
+    },
+    RunAssigned {
+        run: RunId,
+        worker: WorkerIndex,
+    },
+    RunEnded {
+        run: RunId,
+        end: RunEnd,
+        checkpoint: CompactString,
+    },
+    /// More workers of a class are listed at once than ever before.
+    WorkersListed {
+        class: WorkerClassId,
+        workers: u32,
+    },
 }
 
 impl fmt::Display for Event {
@@ -51,6 +72,9 @@
             Event::JobRemoved { job } => write!(f, "closed job removed job={job}"),
             Event::RunAssigned { run, worker } => write!(f, "run assigned {run} worker={}", worker.0),
             Event::RunEnded { run, end, .. } => write!(f, "run ended {run} end={end:?}"),
+            Event::WorkersListed { class, workers } => {
+                write!(f, "workers listed class={} workers={workers}", class.0)
+            }
         }
     }
 }
--- a/crates/cluster/job-scheduler/src/ids.rs
+++ b/crates/cluster/job-scheduler/src/ids.rs
@@ -73,6 +73,18 @@
     }
 }
 
+/// The identifier of a worker class. Classes are numbered in the order in which they were first
+/// listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct WorkerClassId(pub(crate) u32);
+
+impl WorkerClassId {
+    /// The identifier of the class after this one.
+    pub(crate) fn next(self) -> Self {
+        WorkerClassId(self.0 + 1)
+    }
+}
+
 /// The position of a worker in the registry. Workers are never removed from the registry, so an
 /// index stays valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/cluster/job-scheduler/src/jobs/mod.rs
+++ b/crates/cluster/job-scheduler/src/jobs/mod.rs
@@ -222,7 +222,7 @@
 
     // Records.
 
-    /// Encodes the current value of a record; `None` if the record is to be deleted.
+    /// Encodes the current value of a job's or task's record; `None` if it is to be deleted.
     pub(crate) fn encode_record(
         &self,
         key: RecordKey,
@@ -231,6 +231,8 @@
         match key {
             RecordKey::Job(job) => Some(self.jobs.get(&job)?.record().encode()),
             RecordKey::Closed(job) => Some(self.jobs.get(&job)?.closed()?.encode()),
+            // Not a record of this table.
+            RecordKey::WorkerClass(_) => None,
             RecordKey::Task(id) => {
                 let job = self.jobs.get(&id.job)?;
                 let task = self.task(id)?;
--- a/crates/cluster/job-scheduler/src/record.rs
+++ b/crates/cluster/job-scheduler/src/record.rs
@@ -1,8 +1,8 @@
-//! The stored form of jobs: keys and records of the replicated key space.
+//! The stored form of jobs and worker classes: keys and records of the replicated key space.
 //!
 //! rkyv encodes records by the order and the types of their fields and variants. Neither may
 //! change; names may.
-use crate::ids::{JobId, QueueId, TaskId};
+use crate::ids::{JobId, QueueId, TaskId, WorkerClassId};
 use crate::spec::JobSpec;
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -51,6 +51,18 @@
     pub(crate) active_runs: Vec<(u32, String)>,
 }
 
+/// The record of a worker class: what its workers have in common, and how many were ever listed at
+/// once.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WorkerClassRecord {
+    pub(crate) service: String,
+    pub(crate) labels: Vec<String>,
+    pub(crate) cpu_millicores: u64,
+    pub(crate) memory_mb: u64,
+    pub(crate) gpus: u64,
+    pub(crate) max_workers: u32,
+}
+
 /// A change of one key of the replicated key space.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordChange {
@@ -63,6 +75,7 @@
 const JOB_PREFIX: u8 = b'j';
 const CLOSED_PREFIX: u8 = b's';
 const TASK_PREFIX: u8 = b't';
+const WORKER_CLASS_PREFIX: u8 = b'w';
 
 /// A key of the key space that belongs to the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -70,6 +83,7 @@
     Job(JobId),
     Closed(JobId),
     Task(TaskId),
+    WorkerClass(WorkerClassId),
 }
 
 impl RecordKey {
@@ -87,12 +101,16 @@
                 &task.index.to_be_bytes(),
             ]
             .concat(),
+            RecordKey::WorkerClass(class) => [&[WORKER_CLASS_PREFIX][..], &class.0.to_be_bytes()].concat(),
         }
     }
 
     /// Decodes a key; `None` for a key of another component or of an unknown version.
     pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
         let (prefix, rest) = bytes.split_first()?;
+        if *prefix == WORKER_CLASS_PREFIX {
+            return Some(RecordKey::WorkerClass(WorkerClassId(u32::from_be_bytes(rest.try_into().ok()?))));
+        }
         let job = JobId(u64::from_be_bytes(rest.get(..8)?.try_into().ok()?));
         match (*prefix, rest.len()) {
             (JOB_PREFIX, 8) => Some(RecordKey::Job(job)),
@@ -123,13 +141,14 @@
     )*};
 }
 
-impl_codec!(JobRecord, ClosedRecord, TaskRecord);
+impl_codec!(JobRecord, ClosedRecord, TaskRecord, WorkerClassRecord);
 
 /// A record with its key.
 pub(crate) enum StoredRecord {
     Job(JobId, JobRecord),
     Closed(JobId, ClosedRecord),
     Task(TaskId, TaskRecord),
+    WorkerClass(WorkerClassId, WorkerClassRecord),
 }
 
 impl StoredRecord {
@@ -139,6 +158,9 @@
             RecordKey::Job(job) => Some(StoredRecord::Job(job, JobRecord::decode(value)?)),
             RecordKey::Closed(job) => Some(StoredRecord::Closed(job, ClosedRecord::decode(value)?)),
             RecordKey::Task(task) => Some(StoredRecord::Task(task, TaskRecord::decode(value)?)),
+            RecordKey::WorkerClass(class) => {
+                Some(StoredRecord::WorkerClass(class, WorkerClassRecord::decode(value)?))
+            }
         }
     }
 }
--- a/crates/cluster/job-scheduler/src/resources.rs
+++ b/crates/cluster/job-scheduler/src/resources.rs
@@ -2,7 +2,7 @@
 use crate::spec::Stage;
 
 /// An amount of each resource.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Resources {
     pub(crate) cpu_millicores: u64,
     pub(crate) memory_mb: u64,
--- a/crates/cluster/job-scheduler/src/scheduler/apply.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/apply.rs
@@ -1,9 +1,10 @@
 //! The application of events to the state.
 use super::Scheduler;
 use crate::events::{Event, RunEnd};
-use crate::ids::{JobId, RunId, TaskId, WorkerIndex};
+use crate::ids::{JobId, RunId, TaskId, WorkerClassId, WorkerIndex};
 use crate::jobs::{Run, RunPhase};
 use crate::record::{ClosedRecord, RecordKey};
+use crate::workers::WorkerClasses;
 use compact_str::CompactString;
 
 impl Scheduler {
@@ -31,6 +32,7 @@
             }
             Event::RunAssigned { run, worker } => self.apply_assigned(now_ms, *run, *worker),
             Event::RunEnded { run, end, checkpoint } => self.apply_run_ended(*run, *end, checkpoint),
+            Event::WorkersListed { class, workers } => self.apply_workers_listed(*class, *workers),
         }
     }
 
@@ -115,4 +117,11 @@
         }
         self.commits.mark_dirty(RecordKey::Task(counted));
     }
+
+    fn apply_workers_listed(&mut self, class: WorkerClassId, workers: u32) {
+        self.worker_classes.raise_max_workers(class, workers);
+        if WorkerClasses::is_stored(class) {
+            self.commits.mark_dirty(RecordKey::WorkerClass(class));
+        }
+    }
 }
--- a/crates/cluster/job-scheduler/src/scheduler/commits.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/commits.rs
@@ -11,14 +11,20 @@
     /// deferred until they are committed.
     pub fn take_changes(&mut self) -> Vec<RecordChange> {
         let dirty = self.commits.take_dirty();
-        let worker_id = |worker| self.workers[worker].id().to_string();
-        let change = |key: RecordKey| RecordChange {
-            key: key.encode(),
-            value: self.jobs.encode_record(key, worker_id),
-        };
+        let change = |key: RecordKey| RecordChange { key: key.encode(), value: self.encode_record(key) };
         dirty.into_iter().map(change).collect()
     }
 
+    /// Encodes the current value of a record; `None` if the record is to be deleted.
+    fn encode_record(&self, key: RecordKey) -> Option<Vec<u8>> {
+        match key {
+            RecordKey::WorkerClass(class) => Some(self.worker_classes.record(class)?.encode()),
+            RecordKey::Job(_) | RecordKey::Closed(_) | RecordKey::Task(_) => {
+                self.jobs.encode_record(key, |worker| self.workers[worker].id().to_string())
+            }
+        }
+    }
+
     /// Declares that all changes taken so far are part of `batch` or of an earlier one. Batch
     /// numbers must ascend.
     pub fn assign_batch(&mut self, batch: u64) {
--- a/crates/cluster/job-scheduler/src/scheduler/feasibility.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/feasibility.rs
@@ -1,5 +1,5 @@
-//! Infeasible jobs, which can never finish because a stage does not fit the workers of their
-//! service.
+//! Infeasible jobs: a stage of theirs does not fit the workers of their service, even if all workers
+//! that were ever listed were there and empty.
 use super::Scheduler;
 use crate::config::Now;
 use crate::ids::TaskId;
@@ -16,8 +16,7 @@
 const MIN_TERM_AGE_MS: u64 = 3_000;
 
 impl Scheduler {
-    /// Fails jobs with a stage that would not fit the workers known in this term even if these were
-    /// empty.
+    /// Fails jobs with a stage that no workers ever listed could run.
     pub(super) fn fail_infeasible_jobs(&mut self, now: Now) {
         if !self.has_worker_list || now.monotonic_ms < self.term_started_at_ms + MIN_TERM_AGE_MS {
             return;
@@ -40,15 +39,17 @@
     }
 
     /// Whether a task of the stage, or all tasks of its gang, would fit the workers of the job's
-    /// service if these were empty.
+    /// service if these were empty. Of each class, as many workers count as were ever listed at
+    /// once, in this term or an earlier one: workers that are down may return.
     fn could_ever_fit(&self, job: &Job, stage: &Stage) -> bool {
         let needed = if stage.gang { u64::from(stage.count) } else { 1 };
         let mut fitting = 0u64;
-        for worker in self.workers.iter() {
-            if worker.service() != job.service() || !worker.has_labels(&stage.constraints) {
+        for seen in self.worker_classes.iter() {
+            if seen.class.service() != job.service() || !seen.class.has_labels(&stage.constraints) {
                 continue;
             }
-            fitting = fitting.saturating_add(Resources::tasks_that_fit(stage, worker.capacity()));
+            let fitting_one = Resources::tasks_that_fit(stage, seen.class.capacity());
+            fitting = fitting.saturating_add(fitting_one.saturating_mul(seen.max_workers.into()));
             if fitting >= needed {
                 return true;
             }
--- a/crates/cluster/job-scheduler/src/scheduler/mod.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/mod.rs
@@ -1,7 +1,7 @@
 //! The scheduler, which coordinates the parts of the crate. Each part keeps its own state.
 //!
-//! Each submodule implements one concern. All durable changes of jobs, tasks and runs are events
-//! that go through [`Scheduler::record_event`].
+//! Each submodule implements one concern. All durable changes of jobs, tasks, runs and worker
+//! classes are events that go through [`Scheduler::record_event`].
 mod apply;
 mod commits;
 mod feasibility;
@@ -35,7 +35,7 @@
 use crate::record::{JobOutcome, JobRecord};
 use crate::renewal::RenewalSchedule;
 use crate::spec::JobSpec;
-use crate::workers::WorkerRegistry;
+use crate::workers::{WorkerClasses, WorkerRegistry};
 use std::collections::BTreeSet;
 
 /// The maximum number of open jobs; further submissions are not admitted.
@@ -56,6 +56,7 @@
     placer: Placer,
     estimates: RuntimeEstimates,
     workers: WorkerRegistry,
+    worker_classes: WorkerClasses,
     /// Whether the platform's worker list was read in this term.
     has_worker_list: bool,
     renewals: RenewalSchedule,
@@ -86,6 +87,7 @@
             placer: Placer::new(config.remote_data_slowdown, seed),
             estimates: RuntimeEstimates::default(),
             workers: WorkerRegistry::default(),
+            worker_classes: WorkerClasses::default(),
             has_worker_list: false,
             renewals: RenewalSchedule::default(),
             calls: OutstandingCalls::new(fencing_token, config.max_concurrent_calls),
--- a/crates/cluster/job-scheduler/src/scheduler/recovery.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/recovery.rs
@@ -25,6 +25,7 @@
                 Some(StoredRecord::Job(job, record)) => self.jobs.restore(job, record),
                 Some(StoredRecord::Closed(job, record)) => closed_jobs.push((job, record)),
                 Some(StoredRecord::Task(task, record)) => tasks.push((task, record)),
+                Some(StoredRecord::WorkerClass(class, record)) => self.worker_classes.restore(class, record),
                 None => unreadable.push(key.to_vec()),
             }
         }
--- a/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
@@ -2,11 +2,11 @@
 //! expired.
 use super::Scheduler;
 use crate::config::Now;
-use crate::events::RunEnd;
-use crate::ids::{RunId, WorkerIndex};
+use crate::events::{Event, RunEnd};
+use crate::ids::{RunId, WorkerClassId, WorkerIndex};
 use crate::protocol::ListedWorker;
 use crate::workers::{Worker, WorkerClock};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Scheduler {
     /// Updates the workers from the platform's list, which must be complete: workers that it does
@@ -36,11 +36,30 @@
             self.change_renewal(*index, |_| ());
         }
         if !changed.is_empty() {
+            self.record_worker_classes(now, &changed, &listed);
             self.placer.update_workers(&self.workers, &changed);
             self.pending.capacity_changed();
         }
     }
 
+    /// Records the classes of which more workers are listed than ever before. `changed` are the
+    /// workers whose class may be new.
+    fn record_worker_classes(&mut self, now: Now, changed: &[WorkerIndex], listed: &BTreeSet<WorkerIndex>) {
+        for index in changed.iter().filter(|index| listed.contains(index)) {
+            let class = self.worker_classes.find_or_add(&self.workers[*index]);
+            self.workers[*index].set_class(class);
+        }
+        let mut counts: BTreeMap<WorkerClassId, u32> = BTreeMap::new();
+        for class in listed.iter().filter_map(|index| self.workers[*index].class()) {
+            *counts.entry(class).or_default() += 1;
+        }
+        for (class, workers) in counts {
+            if workers > self.worker_classes.max_workers(class) {
+                self.record_event(now.monotonic_ms, Event::WorkersListed { class, workers });
+            }
+        }
+    }
+
     /// Adds a listed worker that no record names. A worker of the first list may have a lease from
     /// an earlier term; workers of later lists have started in this term.
     fn add_listed_worker(&mut self, now: Now, entry: &ListedWorker, is_first_list: bool) -> WorkerIndex {
--- a/crates/cluster/job-scheduler/src/workers/mod.rs
+++ b/crates/cluster/job-scheduler/src/workers/mod.rs
@@ -1,12 +1,14 @@
 //! The worker registry: all workers that the platform has listed in this term or that stored
 //! records name.
 mod allocation;
+mod class;
 mod clock;
 mod health;
 mod lease;
 mod worker;
 
 pub(crate) use allocation::Orphan;
+pub(crate) use class::WorkerClasses;
 pub(crate) use clock::WorkerClock;
 pub(crate) use lease::WorkerLease;
 pub(crate) use worker::{ListingState, Worker};
--- a/crates/cluster/job-scheduler/src/workers/worker.rs
+++ b/crates/cluster/job-scheduler/src/workers/worker.rs
@@ -3,6 +3,7 @@
 use super::clock::WorkerClock;
 use super::health::{WorkerHealth, WorkerSpeed};
 use super::lease::WorkerLease;
+use crate::ids::WorkerClassId;
 use crate::protocol::{ListedWorker, ListedWorkerState};
 use crate::resources::Resources;
 use compact_str::CompactString;
@@ -24,6 +25,11 @@
     Gone,
 }
 
+/// Whether `labels` contains all labels in `wanted`.
+pub(super) fn has_all_labels(labels: &[CompactString], wanted: &[String]) -> bool {
+    wanted.iter().all(|wanted| labels.iter().any(|label| label == wanted.as_str()))
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -35,6 +41,7 @@
     /// Kind, then rack.
     labels: Vec<CompactString>,
     capacity: Resources,
+    class: Option<WorkerClassId>,
     /// The worker's positions on the cycles of the expander graphs.
     cycle_positions: CyclePositions,
     listing: ListingState,
@@ -66,6 +73,7 @@
             zone: CompactString::default(),
             labels: Vec::new(),
             capacity: Resources::default(),
+            class: None,
             cycle_positions: cycle_positions(id.as_bytes()),
             listing: ListingState::Unlisted,
             has_seen_term: false,
@@ -105,7 +113,16 @@
 
     /// Whether the worker has all labels in `wanted`.
     pub(crate) fn has_labels(&self, wanted: &[String]) -> bool {
-        wanted.iter().all(|wanted| self.labels.iter().any(|label| label == wanted.as_str()))
+        has_all_labels(&self.labels, wanted)
+    }
+
+    /// The class of the worker; `None` until the platform's list names the worker.
+    pub(crate) fn class(&self) -> Option<WorkerClassId> {
+        self.class
+    }
+
+    pub(crate) fn set_class(&mut self, class: WorkerClassId) {
+        self.class = Some(class);
     }
 
     // Listing.
--- a/crates/cluster/job-scheduler/tests/golden.rs
+++ b/crates/cluster/job-scheduler/tests/golden.rs
@@ -2,8 +2,8 @@
 //! tasks, and the JSON body of a submitted job.
 //!
 //! The record types are private to the scheduler, so the tests have a scheduler write records and
-//! recover from them. [`JobRecord`], [`ClosedRecord`] and [`TaskRecord`] repeat those types, so
-//! that the value of each field of an example is known.
+//! recover from them. [`JobRecord`], [`ClosedRecord`], [`TaskRecord`] and [`WorkerClassRecord`]
+//! repeat those types, so that the value of each field of an example is known.
 #[path = "../../replication/tests/golden/support.rs"]
 mod support;
 
@@ -21,6 +21,8 @@
 const RETENTION_MS: u64 = 120_000;
 /// The margin beyond [`RETENTION_MS`] for which the records of a closed job are kept, milliseconds.
 const RETENTION_MARGIN_MS: u64 = 10_000;
+/// The first worker class that is listed: a prefix and its number.
+const FIRST_WORKER_CLASS_KEY: [u8; 5] = [b'w', 0, 0, 0, 0];
 const FULL_JOB: JobId = JobId(0x0123_4567_89ab_cdef);
 const PLAIN_JOB: JobId = JobId(0x00ff_0000_0000_0002);
 /// The wall-clock time at the monotonic time 0, milliseconds since the Unix epoch.
@@ -64,6 +66,17 @@
     active_runs: Vec<(u32, String)>,
 }
 
+/// The record of a worker class.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+struct WorkerClassRecord {
+    service: String,
+    labels: Vec<String>,
+    cpu_millicores: u64,
+    memory_mb: u64,
+    gpus: u64,
+    max_workers: u32,
+}
+
 /// Encodes a value with rkyv.
 macro_rules! encode {
     ($value:expr) => {
@@ -229,9 +242,46 @@
         ("closed_succeeded", closed(JobOutcome::Succeeded)),
         ("closed_failed", closed(JobOutcome::Failed)),
         ("closed_cancelled", closed(JobOutcome::Cancelled)),
+        ("worker_class_key", FIRST_WORKER_CLASS_KEY.to_vec()),
+        ("worker_class", encode!(&worker_class())),
     ]
 }
 
+/// The class of two workers like [`listed_worker`].
+fn worker_class() -> WorkerClassRecord {
+    WorkerClassRecord {
+        service: "batch".into(),
+        labels: vec!["rack-1".into(), "a label longer than eight".into()],
+        cpu_millicores: 16_000,
+        memory_mb: 65_536,
+        gpus: 4,
+        max_workers: 2,
+    }
+}
+
+fn listed_worker(id: &str) -> ListedWorker {
+    ListedWorker {
+        id: id.into(),
+        service: "batch".into(),
+        address: id.into(),
+        zone: "z".into(),
+        state: ListedWorkerState::Ready,
+        cpu_millicores: 16_000,
+        memory_mb: 65_536,
+        gpus: 4,
+        labels: vec!["rack-1".into(), "a label longer than eight".into()],
+    }
+}
+
+#[test]
+fn record_of_a_listed_worker_class_matches_the_golden_bytes() {
+    let mut scheduler = empty_scheduler();
+    scheduler.update_workers(now(0), &[listed_worker("worker-1"), listed_worker("worker-2")]);
+    let changes = scheduler.take_changes();
+    let written = RecordChange { key: golden("worker_class_key"), value: Some(golden("worker_class")) };
+    assert_eq!(changes, [written]);
+}
+
 fn task_key(task: &TaskId) -> Vec<u8> {
     let mut key = vec![b't'];
     key.extend(task.job.0.to_be_bytes());
@@ -256,6 +306,7 @@
     assert_eq!(decode!(JobRecord, &golden("plain_job")), plain_job());
     assert_eq!(decode!(TaskRecord, &golden("task")), full_task_record());
     assert_eq!(decode!(TaskRecord, &golden("running_task")), running_task_record());
+    assert_eq!(decode!(WorkerClassRecord, &golden("worker_class")), worker_class());
     for (name, outcome) in [
         ("closed_succeeded", JobOutcome::Succeeded),
         ("closed_failed", JobOutcome::Failed),
@@ -278,6 +329,7 @@
         ("closed_key", "closed_succeeded"),
         ("closed_key", "closed_failed"),
         ("closed_key", "closed_cancelled"),
+        ("worker_class_key", "worker_class"),
     ];
     for (key, record) in pairs {
         assert!(is_readable_record(&golden(key), &golden(record)), "{record} is not readable");
@@ -390,6 +442,11 @@
             labels: vec!["rack-1".into()],
         };
         scheduler.update_workers(now(0), &[listed("worker-1", "10.1.0.1:80")]);
+        // The golden text holds the records of jobs; that of the worker's class has an example of
+        // its own.
+        let changes = scheduler.take_changes();
+        assert_eq!(changes.len(), 1, "expected one record, of the worker's class: {changes:?}");
+        assert_eq!(changes[0].key, FIRST_WORKER_CLASS_KEY);
         Harness { scheduler, monotonic_ms: 0, batch: 0, text: String::new() }
     }
 
