job-scheduler: a closed job never counts as pending, also after recovery

Cause: restore_closed closed the job without marking it as begun, so the first report of its run called mark_begun, which lowers the count of the queue, in which the job had never been counted.

Change: Job::close marks the job as begun, for closes and for restored ones. Why it works: pending_counts counts open jobs that have not begun, and a closed job can no longer pass through mark_begun once more.

Test: run_of_a_cancelled_job_does_not_lower_the_count_of_pending_jobs_after_a_failover, which failed before (0 in place of 1).

--- a/crates/cluster/job-scheduler/src/jobs/job.rs
+++ b/crates/cluster/job-scheduler/src/jobs/job.rs
@@ -117,8 +117,11 @@
         self.closed
     }
 
+    /// Closes the job. A closed job does not count as pending, whether it was counted before or is
+    /// being restored.
     pub(super) fn close(&mut self, closed: ClosedRecord) {
         self.closed = Some(closed);
+        self.has_begun = true;
     }
 
     pub(super) fn has_begun(&self) -> bool {
--- a/crates/cluster/job-scheduler/tests/lifecycle.rs
+++ b/crates/cluster/job-scheduler/tests/lifecycle.rs
@@ -100,6 +100,27 @@
     assert_eq!(next.pending_jobs(&queue), 0);
 }
 
+/// Guards against a count of pending jobs that is too low: a job that was closed before a failover
+/// was never counted, and its run, which is still reported, was taken off the count.
+#[test]
+fn run_of_a_cancelled_job_does_not_lower_the_count_of_pending_jobs_after_a_failover() {
+    let mut manual = ManualScheduler::new(1);
+    manual.submit(1, ONE_TASK);
+    let start = single_start(&manual.commit());
+    manual.acknowledge(&start);
+    manual.submit(2, ONE_TASK);
+    manual.scheduler.cancel(manual.now(), JobId(1));
+    manual.commit();
+    manual.fail_over(1);
+    assert_eq!(manual.scheduler.pending_jobs(&QueueId::default()), 1, "job 2 waits for room");
+
+    let calls = manual.advance(20);
+    let renewal = renewal_to(&calls, &start.worker_id).expect("the worker is asked what it runs");
+    manual.report(renewal, &[started_run(&start)], &[]);
+
+    assert_eq!(manual.scheduler.pending_jobs(&QueueId::default()), 1, "job 2 still waits");
+}
+
 #[test]
 fn run_ends_of_all_gang_members_complete_only_one_occurrence() {
     let mut manual = ManualScheduler::new(2);
