--- a/crates/cluster/replication/tests/common/cluster.rs
+++ b/crates/cluster/replication/tests/common/cluster.rs
@@ -1,5 +1,5 @@
 //! The simulated cluster: the faults that tests inject, and the simulation step.
-use super::machine::{Machine, PendingWrite, Proposal, ServedTerm, peer_address};
+use super::machine::{Machine, Proposal, ServedTerm, peer_address};
 use super::network::{InFlightMessage, Link, SimulatedNetwork};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -8,8 +8,6 @@
 };
 use std::collections::BTreeSet;
 
-/// The time from the start of a write until it is on disk, milliseconds.
-const WRITE_LATENCY_MS: u64 = 9;
 /// The interval between two ticks of a machine, milliseconds.
 const TICK_INTERVAL_MS: u64 = 10;
 /// The interval at which [`SimulatedCluster::run`] proposes a batch, milliseconds.
@@ -346,8 +344,7 @@
             match output {
                 Output::Send { to, envelope } => self.send(index, &to, envelope),
                 Output::Write { token, record } => {
-                    let write = PendingWrite { due_at_ms: self.now_ms + WRITE_LATENCY_MS, token, record };
-                    self.machines[index].pending_writes.push_back(write);
+                    self.machines[index].begin_write(self.now_ms, token, record);
                 }
                 Output::Event(event) => self.handle_event(index, event),
             }
@@ -385,10 +382,11 @@
 
     fn handle_commit(&mut self, index: usize, sequence: u64) {
         let machine = &mut self.machines[index];
-        let is_committed = |proposal: &Proposal| proposal.sequence <= sequence;
-        let committed = machine.proposals.iter().filter(|proposal| is_committed(proposal));
-        self.committed_keys.extend(committed.map(|proposal| proposal.key.clone()));
-        machine.proposals.retain(|proposal| !is_committed(proposal));
+        let is_committed = |proposal: &mut Proposal| proposal.sequence <= sequence;
+        let committed: Vec<Proposal> = machine.proposals.extract_if(.., is_committed).collect();
+        let keys: Vec<Vec<u8>> = committed.into_iter().map(|proposal| proposal.key).collect();
+        self.check_keys_are_on_own_disk(index, &keys);
+        self.committed_keys.extend(keys);
         self.check_committed_keys_are_present(index, sequence);
     }
 }
--- a/crates/cluster/replication/tests/common/machine.rs
+++ b/crates/cluster/replication/tests/common/machine.rs
@@ -3,6 +3,10 @@
 use spanlead_replication::{Record, RecoveredState, Replica, ReplicaConfig, Term};
 use std::collections::VecDeque;
 
+/// The time from the start of a write until it is on disk, unless a test sets another,
+/// milliseconds.
+const DEFAULT_WRITE_LATENCY_MS: u64 = 9;
+
 /// A record that is not on disk yet.
 #[derive(Clone)]
 pub struct PendingWrite {
@@ -32,6 +36,8 @@
     pub config: ReplicaConfig,
     pub disk: RecoveredState,
     pub pending_writes: VecDeque<PendingWrite>,
+    /// The time from the start of a write until it is on disk, milliseconds.
+    pub write_latency_ms: u64,
     /// `None` while the process does not run.
     pub replica: Option<Replica>,
     pub paused_until_ms: u64,
@@ -64,6 +70,7 @@
             config,
             disk: RecoveredState::default(),
             pending_writes: VecDeque::new(),
+            write_latency_ms: DEFAULT_WRITE_LATENCY_MS,
             replica: None,
             paused_until_ms: 0,
             served_term: None,
@@ -92,6 +99,12 @@
         self.served_term = None;
     }
 
+    /// Begins to write a record. Writes reach the disk in order.
+    pub fn begin_write(&mut self, now_ms: u64, token: u64, record: Record) {
+        let due_at_ms = now_ms + self.write_latency_ms;
+        self.pending_writes.push_back(PendingWrite { due_at_ms, token, record });
+    }
+
     /// Removes and returns the oldest pending write that is complete at `now_ms`.
     pub fn take_finished_write(&mut self, now_ms: u64) -> Option<PendingWrite> {
         let is_done = self.pending_writes.front().is_some_and(|write| write.due_at_ms <= now_ms);
--- a/crates/cluster/replication/tests/common/rules.rs
+++ b/crates/cluster/replication/tests/common/rules.rs
@@ -88,6 +88,19 @@
         );
     }
 
+    /// Checks that the keys that a primary commits are on its own disk: it counts as one of the
+    /// replicas that keep them.
+    pub fn check_keys_are_on_own_disk(&self, index: usize, keys: &[Vec<u8>]) {
+        let machine = &self.machines[index];
+        let missing = keys.iter().find(|key| machine.disk.keyspace.get(key).is_none());
+        assert!(
+            missing.is_none(),
+            "machine {index} commits key {missing:?}, which is not on its disk, at {} ms: {}",
+            self.now_ms,
+            self.describe()
+        );
+    }
+
     /// Checks that a primary holds every key that was ever committed, once it commits in its term.
     pub fn check_committed_keys_are_present(&mut self, index: usize, sequence: u64) {
         let machine = &mut self.machines[index];
