--- a/crates/cluster/data-plane/src/client_api.rs
+++ b/crates/cluster/data-plane/src/client_api.rs
@@ -41,6 +41,11 @@
     open_requests: Arc<AtomicU64>,
     /// When the last request arrived, on the monotonic clock.
     last_request_ms: Arc<AtomicU64>,
+    /// By when all requests must be answered, on the monotonic clock; [`u64::MAX`] unless the
+    /// process shuts down.
+    answer_by_ms: Arc<AtomicU64>,
+    /// Whether new requests are refused, since the process is about to end.
+    refuses_requests: Arc<AtomicBool>,
 }
 
 impl ClientApi {
@@ -54,15 +59,34 @@
             clock,
             open_requests: Arc::default(),
             last_request_ms: Arc::default(),
+            answer_by_ms: Arc::new(AtomicU64::new(u64::MAX)),
+            refuses_requests: Arc::default(),
         }
     }
 
+    /// Answers each request that arrives from now on within `time` from now, whatever its deadline.
+    pub fn limit_answer_time(&self, time: Duration) {
+        let time_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.answer_by_ms.store(self.clock.monotonic_ms().saturating_add(time_ms), Ordering::Relaxed);
+    }
+
+    /// Refuses each request that arrives from now on. It is not forwarded.
+    pub fn refuse_requests(&self) {
+        self.refuses_requests.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether requests were received and not answered yet.
+    #[must_use]
+    pub fn has_open_requests(&self) -> bool {
+        self.open_requests.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether no request is open and none has arrived within the last `idle_ms` milliseconds.
     #[must_use]
     pub fn is_idle(&self, idle_ms: u64) -> bool {
         let last_ms = self.last_request_ms.load(Ordering::Relaxed);
         let elapsed_ms = self.clock.monotonic_ms().saturating_sub(last_ms);
-        self.open_requests.load(Ordering::Relaxed) == 0 && elapsed_ms >= idle_ms
+        !self.has_open_requests() && elapsed_ms >= idle_ms
     }
 
     fn is_ready(&self) -> bool {
@@ -139,7 +163,11 @@
 /// Translates an HTTP request into an operation, forwards it to the primary and returns the
 /// response.
 async fn handle(mut request: Request<ClientApi>, api: &ClientApi) -> tide::Result {
+    if api.refuses_requests.load(Ordering::Relaxed) {
+        return Ok(response(RequestOutcome::NoEffect));
+    }
     let deadline_ms = api.clock.monotonic_ms() + processing_budget_ms(&request);
+    let deadline_ms = deadline_ms.min(api.answer_by_ms.load(Ordering::Relaxed));
     let host = request.host().unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
     let path = request.url().path().to_owned();
--- a/crates/cluster/data-plane/src/lib.rs
+++ b/crates/cluster/data-plane/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`control_plane_client`]: tracks the primary, receives the configuration and forwards
 //!   requests.
 //! - [`outcome_counts`]: metrics of requests whose outcome is unknown.
+//! - [`shutdown`]: how the process ends without cutting requests.
 //!
 //! It stores no state: a request that a data plane loses was not acknowledged, and its client sends
 //! it again.
@@ -13,6 +14,7 @@
 pub mod control_plane_client;
 pub mod outcome_counts;
 mod pending_requests;
+pub mod shutdown;
 
 use async_std::task;
 use client_api::ClientApi;
@@ -23,7 +25,7 @@
 use spanlead_cluster_runtime::{metrics, program, signals, traffic};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 quick_error! {
     /// An error that prevents a data plane from starting.
@@ -36,14 +38,7 @@
     }
 }
 
-/// The minimum time for which a process that shuts down still accepts requests, so that the
-/// platform can observe that it is no longer ready.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(2_500);
-/// The time before the end of the platform's grace period at which the drain ends at the latest.
-const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
-/// Time without a new request after which a draining process ends, milliseconds.
-const IDLE_BEFORE_EXIT_MS: u64 = 500;
-/// Interval between checks whether a shutdown was requested, and whether the drain is complete.
+/// Interval between checks whether a shutdown was requested.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The number of file descriptors that are reserved for files and for connections to the control
 /// plane and to other data planes.
@@ -79,7 +74,7 @@
             task::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
         log::info!("shutdown requested");
-        drain(&api, grace).await;
+        shutdown::drain(&api, grace).await;
     });
     Ok(())
 }
@@ -89,13 +84,3 @@
 fn max_client_connections(settings: &Settings) -> usize {
     settings.max_descriptors().saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS)
 }
-
-/// Waits until the platform has routed clients to other processes and all requests are answered,
-/// but not beyond the grace period.
-async fn drain(api: &ClientApi, grace: Duration) {
-    task::sleep(MIN_DRAIN_TIME.min(grace.saturating_sub(GRACE_MARGIN))).await;
-    let until = Instant::now() + grace.saturating_sub(MIN_DRAIN_TIME + GRACE_MARGIN);
-    while !api.is_idle(IDLE_BEFORE_EXIT_MS) && Instant::now() < until {
-        task::sleep(SHUTDOWN_POLL_INTERVAL).await;
-    }
-}
