cluster-testbed: a soak, with kept connections and overlapping actions

Change: `spanlead-cluster soak`: a plan drawn from the seed (SIGHUP in series, rolling restarts of the data plane, restarts, crashes and pauses of the control plane within the fault tolerance, crashes of workers), clients that keep their connection, an operator who sends series and races of configurations. Judged: the jobs, by the checker of `try`; requests cut later than lossSlackMs during planned work; both winners of a race, refusals, routes that are not in force after configApplyMs, the configuration read back; processes that end by themselves or not within graceS. What `try` and the soak share (start of the platform, configuration, folder of the programs) stands once. The golden help has the new command; nothing else of it changed.

--- a/crates/cluster/job-scheduler/tests/partial_reports.rs
+++ b/crates/cluster/job-scheduler/tests/partial_reports.rs
@@ -33,20 +33,25 @@
     panic!("no renewal was sent for 1 s");
 }
 
+/// Reports that nothing runs any more: first a part of the ends, the end of `first`, and then the
+/// end of `second`. Neither may start again.
+fn report_ends_in_two_parts(manual: &mut ManualScheduler, renewal: &WorkerCall, tasks: [TaskId; 2]) {
+    let [first, second] = tasks;
+    manual.report_first_ends(renewal, &[], &[(1, first, 1, "done")]);
+    let renewal = next_renewal(manual);
+    manual.report(&renewal, &[], &[(2, second, 1, "done")]);
+    assert!(starts(&manual.advance(20)).is_empty(), "both tasks are done");
+    assert_eq!(manual.scheduler.job_state(JobId(1)), Some(JobState::Closed(JobOutcome::Succeeded)));
+}
+
 /// Guards against review/1: after a failover, a task whose end `done` did not fit in the worker's
 /// first report was started again.
 #[test]
 fn task_whose_end_follows_in_a_later_report_does_not_start_again_after_a_failover() {
-    let (mut manual, [first, second]) = running_job();
+    let (mut manual, tasks) = running_job();
     manual.fail_over(1);
-
-    let renewal = next_renewal(&mut manual);
-    manual.report_first_ends(&renewal, &[], &[(1, first, 1, "done")]);
     let renewal = next_renewal(&mut manual);
-    manual.report(&renewal, &[], &[(2, second, 1, "done")]);
-
-    assert!(starts(&manual.advance(20)).is_empty(), "both tasks are done");
-    assert_eq!(manual.scheduler.job_state(JobId(1)), Some(JobState::Closed(JobOutcome::Succeeded)));
+    report_ends_in_two_parts(&mut manual, &renewal, tasks);
 }
 
 /// A run of an earlier term that is still missing once all ends are reported has never begun: its
@@ -67,15 +72,9 @@
 /// The same within one term, as after a network partition during which many runs end.
 #[test]
 fn task_whose_end_follows_in_a_later_report_does_not_start_again() {
-    let (mut manual, [first, second]) = running_job();
-
+    let (mut manual, tasks) = running_job();
     let renewal = manual.take_waiting_renewal(WORKER);
-    manual.report_first_ends(&renewal, &[], &[(1, first, 1, "done")]);
-    let renewal = next_renewal(&mut manual);
-    manual.report(&renewal, &[], &[(2, second, 1, "done")]);
-
-    assert!(starts(&manual.advance(20)).is_empty(), "both tasks are done");
-    assert_eq!(manual.scheduler.job_state(JobId(1)), Some(JobState::Closed(JobOutcome::Succeeded)));
+    report_ends_in_two_parts(&mut manual, &renewal, tasks);
 }
 
 /// A start without a response is carried out or not: a partial report that does not list its run
--- a/crates/tools/cluster-testbed/src/bin/cluster.rs
+++ b/crates/tools/cluster-testbed/src/bin/cluster.rs
@@ -8,6 +8,8 @@
 use http_types::Method;
 use spanlead_cluster_config::{Configuration, ConfigurationError};
 use spanlead_cluster_testbed::http_client::{CallError, HttpRequest, HttpResponse, call_control_plane};
+use spanlead_cluster_testbed::process_control::TrialError;
+use spanlead_cluster_testbed::soak::{self, SoakOptions};
 use spanlead_cluster_testbed::trial::run;
 use spanlead_cluster_testbed::trial_options::TrialOptions;
 use std::fmt::Display;
@@ -27,6 +29,9 @@
     /// Runs the whole system on loopback addresses among stand-ins, troubles it, and judges the
     /// rules.
     Try(TrialOptions),
+    /// Runs the whole system among clients that keep their connections, with signals, restarts,
+    /// crashes and changes in series that overlap, and judges the rules.
+    Soak(SoakOptions),
     /// Who belongs to the control plane, who is primary, and how far each is.
     Members(ControlPlaneAddress),
     /// The workers, with their room and what runs there.
@@ -79,11 +84,8 @@
 
 fn main() -> ExitCode {
     match Arguments::parse().command {
-        Command::Try(options) => match run(&options) {
-            Ok(true) => ExitCode::SUCCESS,
-            Ok(false) => ExitCode::from(EXIT_REJECTED),
-            Err(error) => print_error(&error),
-        },
+        Command::Try(options) => print_verdict(run(&options)),
+        Command::Soak(options) => print_verdict(soak::run(&options)),
         Command::Members(control_plane) => get(&control_plane, "/status/members"),
         Command::Workers(control_plane) => get(&control_plane, "/status/workers"),
         Command::Job { control_plane, id } => get(&control_plane, &format!("/status/jobs/{id}")),
@@ -95,6 +97,14 @@
     }
 }
 
+fn print_verdict(verdict: Result<bool, TrialError>) -> ExitCode {
+    match verdict {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_REJECTED),
+        Err(error) => print_error(&error),
+    }
+}
+
 fn print_error(error: &dyn Display) -> ExitCode {
     eprintln!("{error}");
     ExitCode::from(EXIT_ERROR)
--- a/crates/tools/cluster-testbed/src/lib.rs
+++ b/crates/tools/cluster-testbed/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`SimulatedWorker`] follows the worker protocol, and [`SafetyChecker`] judges what it observes;
 //! the scheduler's seeded simulations use both. `spanlead-cluster try` ([`trial`]) serves them over
 //! HTTP ([`platform`]), starts the real programs ([`process_control`]), submits jobs ([`clients`]),
-//! injects faults ([`fault_plan`]) and reports what came of it ([`report`]).
+//! injects faults ([`fault_plan`]) and reports what came of it ([`report`]). `spanlead-cluster soak`
+//! ([`soak`]) does so with clients that keep their connections, and with overlapping actions.
 #![warn(missing_docs, unreachable_pub, clippy::wildcard_imports, clippy::match_bool, clippy::too_many_lines)]
 
 mod gang;
@@ -13,11 +14,13 @@
 mod simulated_worker;
 
 pub mod clients;
+pub mod configuration;
 pub mod fault_plan;
 pub mod http_client;
 pub mod platform;
 pub mod process_control;
 pub mod report;
+pub mod soak;
 pub mod trial;
 pub mod trial_options;
 mod worker_server;
--- a/crates/tools/cluster-testbed/src/platform.rs
+++ b/crates/tools/cluster-testbed/src/platform.rs
@@ -1,6 +1,7 @@
 //! The simulated platform: the workers, their clock, and the list of them over HTTP.
 use crate::gang::finish_gangs;
 use crate::http_response::json_response;
+use crate::process_control::Ports;
 use crate::safety_checker::SafetyChecker;
 use crate::simulated_worker::SimulatedWorker;
 use async_std::task;
@@ -73,6 +74,20 @@
         Platform { fleet: Arc::new(Mutex::new(fleet)), started_at: Instant::now() }
     }
 
+    /// Starts the servers of `workers` simulated workers and of their list.
+    #[must_use]
+    pub fn start(workers: usize, seed: u64, ports: Ports) -> Self {
+        let address = |index: usize| format!("127.71.3.{}:{}", index + 1, ports.worker());
+        let addresses: Vec<String> = (0..workers).map(address).collect();
+        let platform = Platform::new(&addresses, seed);
+        task::spawn(platform.clone().advance_workers());
+        task::spawn(platform.clone().serve_list(format!("{WORKER_LIST_IP}:{}", ports.list())));
+        for (index, address) in addresses.into_iter().enumerate() {
+            task::spawn(platform.clone().serve_worker(index, address));
+        }
+        platform
+    }
+
     /// Locks the fleet.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/tools/cluster-testbed/src/process_control.rs
+++ b/crates/tools/cluster-testbed/src/process_control.rs
@@ -103,6 +103,15 @@
     child: Option<Child>,
 }
 
+/// The folder of this program, where the other programs are too.
+///
+/// # Errors
+/// If the path of this program is not known.
+pub fn program_folder() -> Result<PathBuf, TrialError> {
+    let program = std::env::current_exe().map_err(|e| TrialError::Io("own program".to_owned(), e))?;
+    Ok(program.parent().map(PathBuf::from).unwrap_or_default())
+}
+
 /// The machines of a trial before their start.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -224,6 +233,16 @@
         }
     }
 
+    /// Whether a machine's process has ended. It is reaped then.
+    pub fn has_ended(&mut self, machine_index: usize) -> bool {
+        let child = &mut self.machines[machine_index].child;
+        let is_running = child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)));
+        if !is_running {
+            *child = None;
+        }
+        !is_running
+    }
+
     /// Kills a machine's process and empties its disk.
     pub fn wipe(&mut self, machine_index: usize) {
         self.kill(machine_index);
--- /dev/null
+++ b/crates/tools/cluster-testbed/src/soak/driver.rs
@@ -0,0 +1,191 @@
+//! Carries out the plan: signals, ends and starts of processes, which overlap.
+use super::disturbances::Disturbances;
+use super::plan::{Action, PlannedAction};
+use crate::platform::Platform;
+use crate::process_control::{Machines, Role, TrialError};
+use async_std::task;
+use rustix::process::Signal;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Between two looks at the processes.
+const STEP_INTERVAL: Duration = Duration::from_millis(10);
+/// How long a process may take to end after SIGTERM (`graceS`).
+const GRACE: Duration = Duration::from_secs(6);
+
+/// What a process is about to do.
+#[derive(Clone, Copy, Debug)]
+enum Transition {
+    /// It was told to end.
+    Ending { since: Instant, outage: Duration },
+    /// It is down.
+    Down { until: Instant, is_planned: bool },
+    /// It is stopped and goes on later.
+    Frozen { until: Instant },
+}
+
+/// The processes of a soak, and what each of them is about to do.
+#[derive(Debug)]
+pub(super) struct Driver {
+    machines: Machines,
+    platform: Platform,
+    disturbances: Disturbances,
+    transitions: BTreeMap<usize, Transition>,
+    /// How many actions were carried out; one on a machine that is in a transition is left out.
+    pub(super) actions: usize,
+    /// Processes that did not end in time after SIGTERM.
+    pub(super) violations: Vec<String>,
+}
+
+impl Driver {
+    pub(super) fn new(machines: Machines, platform: Platform, disturbances: Disturbances) -> Self {
+        Driver {
+            machines,
+            platform,
+            disturbances,
+            transitions: BTreeMap::new(),
+            actions: 0,
+            violations: Vec::new(),
+        }
+    }
+
+    /// Carries out the plan, and returns once no process is in a transition.
+    ///
+    /// # Errors
+    /// If a process can't be started.
+    pub(super) async fn run(&mut self, plan: &[PlannedAction]) -> Result<(), TrialError> {
+        let started_at = Instant::now();
+        let mut plan = plan.iter().peekable();
+        loop {
+            let elapsed_ms = started_at.elapsed().as_millis() as u64;
+            while let Some(planned) = plan.next_if(|planned| planned.at_ms <= elapsed_ms) {
+                self.act(planned.action);
+            }
+            self.advance_transitions()?;
+            if plan.peek().is_none() && self.transitions.is_empty() {
+                return Ok(());
+            }
+            task::sleep(STEP_INTERVAL).await;
+        }
+    }
+
+    /// The names of the machines whose process ended by itself.
+    pub(super) fn exited(&mut self) -> Vec<String> {
+        self.machines.exited()
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Reload { machine } => self.reload(machine),
+            Action::Restart { machine, outage_ms } => {
+                self.begin(machine, action, |driver| driver.terminate(machine, outage_ms));
+            }
+            Action::Kill { machine, outage_ms } => {
+                self.begin(machine, action, |driver| driver.kill(machine, outage_ms));
+            }
+            Action::Freeze { machine, outage_ms } => {
+                self.begin(machine, action, |driver| driver.freeze(machine, outage_ms));
+            }
+            Action::KillControlPlane { outage_ms } => self.kill_control_plane(outage_ms),
+            Action::CrashWorker { worker } => {
+                self.actions += 1;
+                self.disturbances.record_unplanned(None);
+                self.platform.crash_worker(worker);
+            }
+        }
+    }
+
+    /// Carries out an action on a machine unless it is in a transition.
+    fn begin(&mut self, machine: usize, action: Action, carry_out: impl FnOnce(&mut Self) -> Transition) {
+        if self.transitions.contains_key(&machine) {
+            return;
+        }
+        if self.machines.has_ended(machine) {
+            let node = &self.machines.machines[machine].node;
+            self.violations.push(format!("{node} ended by itself"));
+        }
+        self.actions += 1;
+        self.record(machine, action.is_planned());
+        let transition = carry_out(self);
+        self.transitions.insert(machine, transition);
+    }
+
+    fn record(&self, machine: usize, is_planned: bool) {
+        if is_planned {
+            self.disturbances.record_planned(machine);
+        } else {
+            self.disturbances.record_unplanned(Some(machine));
+        }
+    }
+
+    /// Sends SIGHUP, also to a process that is about to end: signals overlap.
+    fn reload(&mut self, machine: usize) {
+        self.actions += 1;
+        self.machines.signal(machine, Signal::HUP);
+    }
+
+    fn terminate(&mut self, machine: usize, outage_ms: u64) -> Transition {
+        self.machines.signal(machine, Signal::TERM);
+        Transition::Ending { since: Instant::now(), outage: Duration::from_millis(outage_ms) }
+    }
+
+    fn kill(&mut self, machine: usize, outage_ms: u64) -> Transition {
+        self.machines.kill(machine);
+        Transition::Down { until: Instant::now() + Duration::from_millis(outage_ms), is_planned: false }
+    }
+
+    fn freeze(&mut self, machine: usize, outage_ms: u64) -> Transition {
+        self.machines.signal(machine, Signal::STOP);
+        Transition::Frozen { until: Instant::now() + Duration::from_millis(outage_ms) }
+    }
+
+    /// Kills all processes of the control plane, also those that are about to end.
+    fn kill_control_plane(&mut self, outage_ms: u64) {
+        self.actions += 1;
+        for machine in self.machines.with_role(Role::Control) {
+            self.record(machine, false);
+            let transition = self.kill(machine, outage_ms);
+            self.transitions.insert(machine, transition);
+        }
+    }
+
+    fn advance_transitions(&mut self) -> Result<(), TrialError> {
+        for (machine, transition) in self.transitions.clone() {
+            match self.advance(machine, transition)? {
+                Some(next) => self.transitions.insert(machine, next),
+                None => self.transitions.remove(&machine),
+            };
+        }
+        Ok(())
+    }
+
+    /// Advances a transition, and returns the one that follows; `None` once it is over.
+    fn advance(&mut self, machine: usize, transition: Transition) -> Result<Option<Transition>, TrialError> {
+        let now = Instant::now();
+        match transition {
+            Transition::Ending { since, outage } => {
+                let is_overdue = now > since + GRACE;
+                if is_overdue {
+                    let node = &self.machines.machines[machine].node;
+                    self.violations.push(format!("{node} did not end within {} s", GRACE.as_secs()));
+                    self.record(machine, false);
+                    self.machines.kill(machine);
+                } else if !self.machines.has_ended(machine) {
+                    return Ok(Some(transition));
+                }
+                Ok(Some(Transition::Down { until: now + outage, is_planned: !is_overdue }))
+            }
+            Transition::Down { until, is_planned } if now >= until => {
+                self.record(machine, is_planned);
+                self.machines.start(machine, false)?;
+                Ok(None)
+            }
+            Transition::Frozen { until } if now >= until => {
+                self.record(machine, false);
+                self.machines.signal(machine, Signal::CONT);
+                Ok(None)
+            }
+            Transition::Down { .. } | Transition::Frozen { .. } => Ok(Some(transition)),
+        }
+    }
+}
--- a/crates/tools/cluster-testbed/src/trial.rs
+++ b/crates/tools/cluster-testbed/src/trial.rs
@@ -1,17 +1,16 @@
 //! A trial: the whole system on loopback addresses, with simulated workers, clients and faults.
-use crate::clients::{self, ClientContext, HOST, PATH_PREFIX, SharedTally, lock};
+use crate::clients::{self, ClientContext, SharedTally, lock};
+use crate::configuration::configuration;
 use crate::fault_plan::{FaultCount, count_fault, inject_fault, plan_faults};
 use crate::http_client::{HttpRequest, call_control_plane};
-use crate::platform::{Platform, WORKER_LIST_IP};
-use crate::process_control::{Layout, Machines, Ports, TrialError};
+use crate::platform::Platform;
+use crate::process_control::{Layout, Machines, Ports, TrialError, program_folder};
 use crate::report;
 use crate::trial_options::TrialOptions;
 use async_std::task::{self, JoinHandle};
 use http_types::Method;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,10 +32,9 @@
 pub fn run(options: &TrialOptions) -> Result<bool, TrialError> {
     let temporary = tempfile::tempdir().map_err(|e| TrialError::Io("temporary folder".to_owned(), e))?;
     let folder = options.folder.clone().unwrap_or_else(|| temporary.path().to_owned());
-    let program = std::env::current_exe().map_err(|e| TrialError::Io("own program".to_owned(), e))?;
     let layout = Layout {
         folder,
-        programs: program.parent().map(PathBuf::from).unwrap_or_default(),
+        programs: program_folder()?,
         ports: Ports { first: options.port },
         control: options.control,
         data: options.data,
@@ -47,7 +45,8 @@
 }
 
 async fn run_system(options: &TrialOptions, machines: &mut Machines) -> Result<bool, TrialError> {
-    let platform = start_platform(options, machines.ports());
+    let platform = Platform::start(options.workers, options.seed, machines.ports());
+    platform.fleet().late_share = options.late;
     for index in 0..machines.machines.len() {
         machines.start(index, true)?;
     }
@@ -61,32 +60,9 @@
     Ok(print_result(machines, &platform, &tally, &faults))
 }
 
-/// Starts the servers of the simulated workers and of their list.
-fn start_platform(options: &TrialOptions, ports: Ports) -> Platform {
-    let address = |index: usize| format!("127.71.3.{}:{}", index + 1, ports.worker());
-    let addresses: Vec<String> = (0..options.workers).map(address).collect();
-    let platform = Platform::new(&addresses, options.seed);
-    platform.fleet().late_share = options.late;
-    task::spawn(platform.clone().advance_workers());
-    task::spawn(platform.clone().serve_list(format!("{WORKER_LIST_IP}:{}", ports.list())));
-    for (index, address) in addresses.into_iter().enumerate() {
-        task::spawn(platform.clone().serve_worker(index, address));
-    }
-    platform
-}
-
-/// The body of the trial's configuration.
-fn configuration() -> String {
-    let route = json!({ "name": "r-1", "host": HOST, "pathPrefix": PATH_PREFIX, "routeType": "mutating",
-        "timeoutMs": 3_000, "targetLatencyMs": 1_000, "priority": 1, "service": "s", "maxAttempts": 3,
-        "extension": 2.0 });
-    let service = json!({ "name": "s", "healthPath": "/healthz", "maxConns": 64, "guards": false });
-    json!({ "version": 1, "routes": [route], "services": [service], "limits": {} }).to_string()
-}
-
 /// Replaces the configuration by the trial's one, and waits until it has spread.
 async fn replace_configuration(machines: &Machines) -> Result<(), TrialError> {
-    let body = configuration();
+    let body = configuration(1, &[]);
     let until = Instant::now() + START_TIMEOUT;
     let controls = machines.control_addresses();
     let mut attempts = controls.iter().cycle();
--- a/crates/tools/cluster-testbed/tests/golden.rs
+++ b/crates/tools/cluster-testbed/tests/golden.rs
@@ -7,8 +7,8 @@
 use support::{compare_text, golden_path};
 
 /// The program with all its commands, as they are asked for help.
-const COMMANDS: [&str; 9] =
-    ["", "try", "members", "workers", "job", "config", "config show", "config check", "config put"];
+const COMMANDS: [&str; 10] =
+    ["", "try", "soak", "members", "workers", "job", "config", "config show", "config check", "config put"];
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_spanlead-cluster")).args(arguments).output().expect("it runs")
