runtime: SIGHUP is harmless from the start of a process

Cause: SIGHUP ends a process by default, and the handler was installed only after the data folder had been opened and read.

Change: program::run ignores SIGHUP before anything else. The soak sends none in the first 30 ms of a process, since nothing can handle a signal before `main`.

--- a/crates/cluster/runtime/src/program.rs
+++ b/crates/cluster/runtime/src/program.rs
@@ -1,6 +1,7 @@
 //! Startup shared by both programs: command line arguments, settings and logging.
 use crate::logs;
 use crate::settings::Settings;
+use crate::signals;
 use async_std::task;
 use clap::{CommandFactory, FromArgMatches, Parser};
 use log::LevelFilter;
@@ -24,7 +25,8 @@
 }
 
 /// Runs a program until it ends and returns its exit status: parses the command line, loads the
-/// settings, starts logging and calls `program`. With `--check` it only loads the settings.
+/// settings, starts logging and calls `program`. With `--check` it only loads the settings. SIGHUP
+/// has no effect on it.
 ///
 /// `name` and `about` are the command's name and the first line of its help.
 pub fn run<E: Display>(
@@ -32,6 +34,7 @@
     about: &'static str,
     program: impl FnOnce(&Settings) -> Result<(), E>,
 ) -> ExitCode {
+    signals::ignore_reload();
     let command = Arguments::command().name(name).about(about);
     let arguments = Arguments::from_arg_matches(&command.get_matches()).unwrap_or_else(|error| error.exit());
     let settings = match Settings::load() {
--- a/crates/tools/cluster-testbed/src/soak/driver.rs
+++ b/crates/tools/cluster-testbed/src/soak/driver.rs
@@ -10,6 +10,9 @@
 
 /// Between two looks at the processes.
 const STEP_INTERVAL: Duration = Duration::from_millis(10);
+/// The time from the start of a process until it is sent SIGHUP: no program can handle a signal
+/// before its `main` has begun.
+const MIN_AGE_FOR_RELOAD: Duration = Duration::from_millis(30);
 /// How long a process may take to end after SIGTERM (`graceS`).
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -31,6 +34,8 @@
     platform: Platform,
     disturbances: Disturbances,
     transitions: BTreeMap<usize, Transition>,
+    /// When processes were last started again, by machine.
+    restarted_at: BTreeMap<usize, Instant>,
     /// How many actions were carried out; one on a machine that is in a transition is left out.
     pub(super) actions: usize,
     /// Processes that did not end in time after SIGTERM.
@@ -44,6 +49,7 @@
             platform,
             disturbances,
             transitions: BTreeMap::new(),
+            restarted_at: BTreeMap::new(),
             actions: 0,
             violations: Vec::new(),
         }
@@ -120,6 +126,10 @@
 
     /// Sends SIGHUP, also to a process that is about to end: signals overlap.
     fn reload(&mut self, machine: usize) {
+        let restarted_at = self.restarted_at.get(&machine);
+        if restarted_at.is_some_and(|restarted_at| restarted_at.elapsed() < MIN_AGE_FOR_RELOAD) {
+            return;
+        }
         self.actions += 1;
         self.machines.signal(machine, Signal::HUP);
     }
@@ -178,6 +188,7 @@
             Transition::Down { until, is_planned } if now >= until => {
                 self.record(machine, is_planned);
                 self.machines.start(machine, false)?;
+                self.restarted_at.insert(machine, now);
                 Ok(None)
             }
             Transition::Frozen { until } if now >= until => {
