--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,8 +9,9 @@
 sys.path.insert(0, os.path.join(HERE, "..", "rig2"))
 import rig as rig2  # noqa: E402
 
-FREEZE_S = 3.3          # `node_freeze` of trf-spanlead: up to for_s = 5.0
-ROUNDS = 3              # one data plane at a time, each frozen at most twice
+FREEZE_S = 3.3          # `node_freeze` of pentagrama-norte: share = 0.11, for_s = 3.5
+EDGES = 10              # one frozen at a time is a share of 0.10
+ROUNDS = 3              # each time another one
 PAUSE_S = 8.0
 CANCEL_S = 3.0          # `cancel_ms`
 STOP_S = 0.4            # `stop_ms`
@@ -22,7 +23,8 @@
 
 
 async def script(make, record, trouble):
-    rig = make()
+    rig2.BOUNDS.update(far_x=1.5, save_s=2, restore_ms=250)     # as in pentagrama-norte
+    rig = make(edges=EDGES)
     for number in range(6):
         await rig.add_worker("alpha", ["a", f"r1-{number // 2}"])
     await rig.start()
@@ -31,7 +33,7 @@
     await asyncio.sleep(4)
     acknowledged = {}
     for number in range(ROUNDS):
-        first, second = rig.edges[number % 2], rig.edges[(number + 1) % 2]
+        first, second = rig.edges[number], rig.edges[number + ROUNDS]
         jobs = {
             # Two steps of 4 s each.
             f"5c0e7a21d94b36f{number}": {"spec": "ms=4000", "stages": [stage(), stage(dependsOn=[0])]},
@@ -54,7 +56,7 @@
         await asyncio.sleep(begun + FREEZE_S + PAUSE_S - time.monotonic())
     await asyncio.sleep(WATCH_S - PAUSE_S)
     for ident in acknowledged:
-        await rig.client(rig.edges[1], "GET", f"/queue/{ident}")
+        await rig.client(rig.edges[-1], "GET", f"/queue/{ident}")
     broken = False
     for worker in rig.workers:
         for when, task, run, answer in worker.orders:
