--- a/crates/cluster/control-plane/src/node/client_requests.rs
+++ b/crates/cluster/control-plane/src/node/client_requests.rs
@@ -6,7 +6,7 @@
 use async_std::channel::Sender;
 use spanlead_cluster_config::Route;
 use spanlead_cluster_runtime::frame::{ClientOperation, ClientRequest, ClientResponse, Frame};
-use spanlead_job_scheduler::{Admission, JobId, JobSpec, Now, QueueId, QueuePolicy};
+use spanlead_job_scheduler::{Admission, Cancellation, JobId, JobSpec, Now, QueueId, QueuePolicy};
 
 /// The priority of the jobs of a route that sets none.
 const DEFAULT_PRIORITY: u8 = 1;
@@ -91,6 +91,7 @@
         match self.scheduler.submit(now, id, policy, spec) {
             Admission::Accepted => Response::empty_json(),
             Admission::TooManyJobs => Response::new(429, "too many jobs"),
+            Admission::AlreadyCancelled => Response::new(410, "job was cancelled"),
         }
     }
 
@@ -102,7 +103,11 @@
     }
 
     fn cancel(&mut self, now: Now, id: JobId) -> Response {
-        if self.scheduler.cancel(now, id) { Response::empty_json() } else { Response::no_such_job() }
+        match self.scheduler.cancel(now, id) {
+            Cancellation::Closed => Response::empty_json(),
+            Cancellation::UnknownJob => Response::no_such_job(),
+            Cancellation::TooManyCancelled => Response::new(503, "too many unknown jobs were cancelled"),
+        }
     }
 }
 
--- a/crates/cluster/control-plane/tests/golden/folder.rs
+++ b/crates/cluster/control-plane/tests/golden/folder.rs
@@ -3,8 +3,8 @@
 use spanlead_control_plane::configuration_state::{ConfigurationState, ReplaceOutcome};
 use spanlead_control_plane::store::Store;
 use spanlead_job_scheduler::{
-    Admission, FinishedTask, JobId, JobSpec, ListedWorker, ListedWorkerState, Now, QueueId, QueuePolicy,
-    RecordChange, RunningTask, Scheduler, SchedulerConfig, TaskId, WorkerReport, WorkerRequest,
+    Admission, Cancellation, FinishedTask, JobId, JobSpec, ListedWorker, ListedWorkerState, Now, QueueId,
+    QueuePolicy, RecordChange, RunningTask, Scheduler, SchedulerConfig, TaskId, WorkerReport, WorkerRequest,
     WorkerResponse,
 };
 use spanlead_replication::{
@@ -168,7 +168,7 @@
     run.submit(FAILED, SHORT_SPEC);
     run.advance(10_000);
     run.submit(CANCELLED, SHORT_SPEC);
-    assert!(run.scheduler.cancel(now(run.monotonic_ms), CANCELLED));
+    assert_eq!(run.scheduler.cancel(now(run.monotonic_ms), CANCELLED), Cancellation::Closed);
     run.advance(1_000);
     run.submit(RUNNING, LONG_RUNNING_SPEC);
     run.advance(1_000);
--- a/crates/cluster/job-scheduler/src/config.rs
+++ b/crates/cluster/job-scheduler/src/config.rs
@@ -51,4 +51,18 @@
     Accepted,
     /// Too many jobs are open; nothing was recorded.
     TooManyJobs,
+    /// The identifier was cancelled before; the job never runs.
+    AlreadyCancelled,
+}
+
+/// The result of cancelling a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancellation {
+    /// The job is closed, now or before.
+    Closed,
+    /// There is no such job. Its identifier is remembered, so that a submission which arrives later
+    /// is refused.
+    UnknownJob,
+    /// There is no such job, and too many identifiers are remembered; nothing was recorded.
+    TooManyCancelled,
 }
--- a/crates/cluster/job-scheduler/src/events.rs
+++ b/crates/cluster/job-scheduler/src/events.rs
@@ -42,6 +42,19 @@
     JobRemoved {
         job: JobId,
     },
+    /// A closed job was cancelled: its retention time begins again.
+    RetentionRenewed {
+        job: JobId,
+        closed_at_ms: u64,
+    },
+    /// The identifier of a cancelled job that is not in the job table is remembered.
+    CancellationRemembered {
+        job: JobId,
+        cancelled_at_ms: u64,
+    },
+    CancellationForgotten {
+        job: JobId,
+    },
     RunAssigned {
         run: RunId,
         worker: WorkerIndex,
@@ -70,6 +83,9 @@
             }
             Event::JobClosed { job, outcome, .. } => write!(f, "job closed job={job} outcome={outcome:?}"),
             Event::JobRemoved { job } => write!(f, "closed job removed job={job}"),
+            Event::RetentionRenewed { job, .. } => write!(f, "retention of closed job renewed job={job}"),
+            Event::CancellationRemembered { job, .. } => write!(f, "cancellation remembered job={job}"),
+            Event::CancellationForgotten { job } => write!(f, "cancellation forgotten job={job}"),
             Event::RunAssigned { run, worker } => write!(f, "run assigned {run} worker={}", worker.0),
             Event::RunEnded { run, end, .. } => write!(f, "run ended {run} end={end:?}"),
             Event::WorkersListed { class, workers } => {
--- a/crates/cluster/job-scheduler/src/jobs/job.rs
+++ b/crates/cluster/job-scheduler/src/jobs/job.rs
@@ -124,6 +124,13 @@
         self.has_begun = true;
     }
 
+    /// Begins the retention time of a closed job again; `false` if the job is open.
+    pub(super) fn renew_retention(&mut self, closed_at_ms: u64) -> bool {
+        let Some(closed) = &mut self.closed else { return false };
+        closed.closed_at_ms = closed_at_ms;
+        true
+    }
+
     pub(super) fn has_begun(&self) -> bool {
         self.has_begun
     }
--- a/crates/cluster/job-scheduler/src/jobs/mod.rs
+++ b/crates/cluster/job-scheduler/src/jobs/mod.rs
@@ -142,6 +142,11 @@
         true
     }
 
+    /// Begins the retention time of a closed job again; `false` if there is no such job.
+    pub(crate) fn renew_retention(&mut self, job: JobId, closed_at_ms: u64) -> bool {
+        self.jobs.get_mut(&job).is_some_and(|entry| entry.renew_retention(closed_at_ms))
+    }
+
     pub(crate) fn remove(&mut self, job: JobId) {
         self.jobs.remove(&job);
     }
@@ -183,13 +188,13 @@
         self.jobs.insert(job, Job::new(record));
     }
 
-    /// Closes a job, if it is known, according to its stored end. Schedules the removal in any
-    /// case.
-    pub(crate) fn restore_closed(&mut self, job: JobId, closed: ClosedRecord) {
-        if let Some(entry) = self.jobs.get_mut(&job) {
-            entry.close(closed);
-        }
+    /// Closes a job according to its stored end, and schedules its removal; `false` if there is no
+    /// such job.
+    pub(crate) fn restore_closed(&mut self, job: JobId, closed: ClosedRecord) -> bool {
+        let Some(entry) = self.jobs.get_mut(&job) else { return false };
+        entry.close(closed);
         self.schedule_removal(closed.closed_at_ms, job);
+        true
     }
 
     /// Restores a task from its record, without its runs; `false` if there is no such task.
--- a/crates/cluster/job-scheduler/src/lib.rs
+++ b/crates/cluster/job-scheduler/src/lib.rs
@@ -16,11 +16,13 @@
 //! - **Run ends** are recorded before the worker may discard them. None is lost or counted twice.
 //! - **Capacity** is reserved from the decision to start a run until its end is known. No worker is
 //!   assigned more than its capacity.
+//! - **Cancellations** are recorded before they are acknowledged, also those of unknown jobs. No
+//!   submission that was sent before is accepted afterwards ([`cancelled_jobs`]).
 //! - **Fencing**: each call carries the term, and a worker that has seen a later term rejects it.
 //!   Calls of an earlier term have no effect on a worker that has responded to the current one.
 //!
-//! Components, each with its own state and invariants: [`jobs`] (job table), [`workers`] (registry
-//! and leases), [`pending`] (queue), [`placement`], [`calls`] (calls in flight, time-outs,
+//! Components, each with its own state and invariants: [`jobs`] (job table), [`cancelled_jobs`]
+//! (identifiers that may not be submitted any more), [`workers`] (registry and leases), [`pending`] (queue), [`placement`], [`calls`] (calls in flight, time-outs,
 //! throttle), [`renewal`] (schedule of lease renewals), [`commit`] (write batches) and
 //! [`occurrence_timer`]. [`scheduler`] coordinates them.
 #![warn(
@@ -39,6 +41,7 @@
 )]
 
 mod calls;
+mod cancelled_jobs;
 mod commit;
 mod config;
 mod estimates;
@@ -59,7 +62,8 @@
 mod spec;
 mod workers;
 
-pub use config::{Admission, Now, QueuePolicy, SchedulerConfig};
+pub use cancelled_jobs::MAX_SUBMISSION_AGE_MS;
+pub use config::{Admission, Cancellation, Now, QueuePolicy, SchedulerConfig};
 pub use ids::{JobId, QueueId, TaskId};
 pub use jobs::JobState;
 pub use latency::{LatencyHistogram, StartLatencies};
--- a/crates/cluster/job-scheduler/src/metrics.rs
+++ b/crates/cluster/job-scheduler/src/metrics.rs
@@ -6,6 +6,8 @@
 pub struct SchedulerCounts {
     /// Jobs in the job table, open or closed.
     pub jobs: usize,
+    /// Remembered identifiers of cancelled jobs that are not in the job table.
+    pub cancelled_jobs: usize,
     /// Tasks and gangs that are waiting to be placed.
     pub pending_units: usize,
     /// Runs whose end is not known.
@@ -58,6 +60,10 @@
     /// Checks that found the first task or gang in the queue held back for too long by a limit on
     /// starts.
     pub held_back_checks: u64,
+    /// Submissions that were refused because their job had been cancelled before.
+    pub cancelled_submissions: u64,
+    /// Cancellations of unknown jobs that were refused because too many are remembered.
+    pub refused_cancellations: u64,
     /// The limit that the last such check found.
     pub held_back_by: Option<StartLimit>,
 }
--- a/crates/cluster/job-scheduler/src/record.rs
+++ b/crates/cluster/job-scheduler/src/record.rs
@@ -29,7 +29,8 @@
     pub(crate) spec: JobSpec,
 }
 
-/// The record of a closed job's end.
+/// The record of a closed job's end. Without a job record it holds the identifier of a cancelled
+/// job, which may not be submitted any more.
 #[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ClosedRecord {
     pub(crate) outcome: JobOutcome,
--- a/crates/cluster/job-scheduler/src/scheduler/apply.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/apply.rs
@@ -3,7 +3,7 @@
 use crate::events::{Event, RunEnd};
 use crate::ids::{JobId, RunId, TaskId, WorkerClassId, WorkerIndex};
 use crate::jobs::{Run, RunPhase};
-use crate::record::{ClosedRecord, RecordKey};
+use crate::record::{ClosedRecord, JobOutcome, RecordKey};
 use crate::workers::WorkerClasses;
 use compact_str::CompactString;
 
@@ -30,6 +30,20 @@
                 self.commits.mark_dirty(RecordKey::Job(*job));
                 self.commits.mark_dirty(RecordKey::Closed(*job));
             }
+            Event::RetentionRenewed { job, closed_at_ms } => {
+                if self.jobs.renew_retention(*job, *closed_at_ms) {
+                    self.commits.mark_dirty(RecordKey::Closed(*job));
+                }
+            }
+            Event::CancellationRemembered { job, cancelled_at_ms } => {
+                let record = ClosedRecord { outcome: JobOutcome::Cancelled, closed_at_ms: *cancelled_at_ms };
+                self.cancelled_jobs.add(now_ms, *job, record);
+                self.commits.mark_dirty(RecordKey::Closed(*job));
+            }
+            Event::CancellationForgotten { job } => {
+                self.cancelled_jobs.remove(*job);
+                self.commits.mark_dirty(RecordKey::Closed(*job));
+            }
             Event::RunAssigned { run, worker } => self.apply_assigned(now_ms, *run, *worker),
             Event::RunEnded { run, end, checkpoint } => self.apply_run_ended(*run, *end, checkpoint),
             Event::WorkersListed { class, workers } => self.apply_workers_listed(*class, *workers),
--- a/crates/cluster/job-scheduler/src/scheduler/commits.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/commits.rs
@@ -19,6 +19,9 @@
     fn encode_record(&self, key: RecordKey) -> Option<Vec<u8>> {
         match key {
             RecordKey::WorkerClass(class) => Some(self.worker_classes.record(class)?.encode()),
+            RecordKey::Closed(job) if !self.jobs.contains(job) => {
+                Some(self.cancelled_jobs.record(job)?.encode())
+            }
             RecordKey::Job(_) | RecordKey::Closed(_) | RecordKey::Task(_) => {
                 self.jobs.encode_record(key, |worker| self.workers[worker].id().to_string())
             }
--- a/crates/cluster/job-scheduler/src/scheduler/mod.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 //! Each submodule implements one concern. All durable changes of jobs, tasks, runs and worker
 //! classes are events that go through [`Scheduler::record_event`].
 mod apply;
+mod cancellation;
 mod commits;
 mod feasibility;
 mod hedging;
@@ -22,6 +23,7 @@
 pub use inspect::{JobView, RunView, TaskView, Usage, WorkerView};
 
 use crate::calls::{CallTimeouts, OutstandingCalls, StartThrottle};
+use crate::cancelled_jobs::CancelledJobs;
 use crate::commit::CommitQueue;
 use crate::config::{Admission, Now, QueuePolicy, SchedulerConfig};
 use crate::estimates::RuntimeEstimates;
@@ -32,7 +34,7 @@
 use crate::occurrence_timer::OccurrenceTimer;
 use crate::pending::PendingQueue;
 use crate::placement::{PlacementMisses, Placer};
-use crate::record::{JobOutcome, JobRecord};
+use crate::record::JobRecord;
 use crate::renewal::RenewalSchedule;
 use crate::spec::JobSpec;
 use crate::workers::{WorkerClasses, WorkerRegistry};
@@ -50,6 +52,7 @@
     /// The start of this term, monotonic milliseconds.
     term_started_at_ms: u64,
     jobs: JobTable,
+    cancelled_jobs: CancelledJobs,
     occurrence_timer: OccurrenceTimer,
     pending: PendingQueue,
     misses: PlacementMisses,
@@ -81,6 +84,7 @@
             config,
             term_started_at_ms: now.monotonic_ms,
             jobs: JobTable::default(),
+            cancelled_jobs: CancelledJobs::default(),
             occurrence_timer: OccurrenceTimer::default(),
             pending: PendingQueue::default(),
             misses: PlacementMisses::default(),
@@ -103,12 +107,19 @@
 
     // Jobs.
 
-    /// Accepts a job, unless too many jobs are open. A submission with the identifier of a known
-    /// job changes nothing, so that clients may retry.
+    /// Accepts a job, unless too many jobs are open or the job was cancelled before. A submission
+    /// with the identifier of a known job changes nothing, so that clients may retry.
+    ///
+    /// The client must have sent the submission less than [`crate::MAX_SUBMISSION_AGE_MS`] ago.
     pub fn submit(&mut self, now: Now, job: JobId, policy: QueuePolicy, spec: JobSpec) -> Admission {
         if self.jobs.contains(job) {
             return Admission::Accepted;
         }
+        if self.cancelled_jobs.contains(job) {
+            log::debug!("submission refused: cancelled before job={job}");
+            self.metrics.cancelled_submissions += 1;
+            return Admission::AlreadyCancelled;
+        }
         if self.jobs.open_count() >= MAX_OPEN_JOBS {
             return Admission::TooManyJobs;
         }
@@ -131,14 +142,6 @@
         self.jobs.get(job).map(Job::state)
     }
 
-    /// Cancels a job, unless it is closed already. Returns `false` if the job is not known.
-    pub fn cancel(&mut self, now: Now, job: JobId) -> bool {
-        if self.jobs.is_open(job) {
-            self.close_job(now, job, JobOutcome::Cancelled);
-        }
-        self.jobs.contains(job)
-    }
-
     /// The number of a queue's open jobs of which no task is known to have begun.
     #[must_use]
     pub fn pending_jobs(&self, queue: &QueueId) -> u64 {
@@ -150,6 +153,7 @@
     pub fn counts(&self) -> SchedulerCounts {
         SchedulerCounts {
             jobs: self.jobs.len(),
+            cancelled_jobs: self.cancelled_jobs.len(),
             pending_units: self.pending.len(),
             active_runs: self.workers.iter().map(|worker| worker.allocation.runs().len()).sum(),
             events: self.events.count(),
--- a/crates/cluster/job-scheduler/src/scheduler/occurrences.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/occurrences.rs
@@ -1,14 +1,10 @@
-//! The beginning of occurrences and stages, and the closing and removal of jobs.
+//! The beginning of occurrences and stages, and the closing of jobs.
 use super::Scheduler;
 use crate::config::Now;
 use crate::events::Event;
 use crate::ids::{JobId, TaskId};
-use crate::jobs::Job;
 use crate::record::JobOutcome;
 
-/// The time that a closed job is kept beyond the configured retention, milliseconds.
-const RETENTION_MARGIN_MS: u64 = 10_000;
-
 impl Scheduler {
     /// Begins the due occurrences of all jobs.
     pub(super) fn begin_due_occurrences(&mut self, now: Now) {
@@ -61,17 +57,4 @@
         self.occurrence_timer.remove_job(job);
         self.stop_job(now.monotonic_ms, job);
     }
-
-    /// Removes closed jobs whose retention is over. A job that still has active runs is kept for
-    /// another retention time.
-    pub(super) fn remove_expired_jobs(&mut self, now: Now) {
-        let retention_ms = self.config.closed_job_retention_ms + RETENTION_MARGIN_MS;
-        while let Some(job) = self.jobs.pop_expired(now.unix_ms, retention_ms) {
-            match self.jobs.get(job).map(Job::has_active_runs) {
-                Some(false) => self.record_event(now.monotonic_ms, Event::JobRemoved { job }),
-                Some(true) => self.jobs.schedule_removal(now.unix_ms, job),
-                None => {}
-            }
-        }
-    }
 }
--- a/crates/cluster/job-scheduler/src/scheduler/recovery.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/recovery.rs
@@ -3,7 +3,7 @@
 use crate::config::Now;
 use crate::ids::{JobId, RunId, TaskId, WorkerIndex};
 use crate::jobs::{Run, RunPhase};
-use crate::record::{JobOutcome, StoredRecord, TaskRecord};
+use crate::record::{ClosedRecord, JobOutcome, StoredRecord, TaskRecord};
 use crate::workers::{Worker, WorkerClock};
 
 impl Scheduler {
@@ -29,9 +29,7 @@
                 None => unreadable.push(key.to_vec()),
             }
         }
-        for (job, record) in closed_jobs {
-            self.jobs.restore_closed(job, record);
-        }
+        self.restore_closed_jobs(now, closed_jobs);
         for (task, record) in tasks {
             self.restore_task(now, task, &record);
         }
@@ -41,6 +39,17 @@
         unreadable
     }
 
+    /// Restores the ends of jobs. One without a job is the identifier of a cancelled job; its time
+    /// to be remembered begins again, since the clocks of two machines can't be compared.
+    fn restore_closed_jobs(&mut self, now: Now, mut records: Vec<(JobId, ClosedRecord)>) {
+        records.sort_unstable_by_key(|(_, record)| record.closed_at_ms);
+        for (job, record) in records {
+            if !self.jobs.restore_closed(job, record) {
+                self.cancelled_jobs.add(now.monotonic_ms, job, record);
+            }
+        }
+    }
+
     /// Restores a task and its active runs.
     fn restore_task(&mut self, now: Now, task: TaskId, record: &TaskRecord) {
         let demand = self.jobs.demand(task);
--- a/crates/cluster/job-scheduler/tests/common/simulated.rs
+++ b/crates/cluster/job-scheduler/tests/common/simulated.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 use spanlead_cluster_testbed::{SafetyChecker, SimulatedWorker, finish_gangs};
 use spanlead_job_scheduler::{
-    Admission, JobId, JobSpec, JobState, ListedWorker, Now, RecordChange, Scheduler, WorkerCall,
-    WorkerRequest, WorkerResponse,
+    Admission, Cancellation, JobId, JobSpec, JobState, ListedWorker, Now, RecordChange, Scheduler,
+    WorkerCall, WorkerRequest, WorkerResponse,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -186,7 +186,7 @@
         let now = self.now();
         let Some(scheduler) = &mut self.scheduler else { return };
         let is_open = !matches!(scheduler.job_state(job), Some(JobState::Closed(_)) | None);
-        if is_open && scheduler.cancel(now, job) {
+        if is_open && scheduler.cancel(now, job) == Cancellation::Closed {
             self.cancelled.insert(job);
         }
     }
--- a/crates/cluster/job-scheduler/tests/golden.rs
+++ b/crates/cluster/job-scheduler/tests/golden.rs
@@ -9,9 +9,9 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 use spanlead_job_scheduler::{
-    Admission, FinishedTask, JobId, JobOutcome, JobSpec, JobState, ListedWorker, ListedWorkerState, Now,
-    QueueId, QueuePolicy, RecordChange, RunningTask, Scheduler, SchedulerConfig, Stage, TaskId, WorkerReport,
-    WorkerRequest, WorkerResponse, is_readable_record,
+    Admission, Cancellation, FinishedTask, JobId, JobOutcome, JobSpec, JobState, ListedWorker,
+    ListedWorkerState, Now, QueueId, QueuePolicy, RecordChange, RunningTask, Scheduler, SchedulerConfig,
+    Stage, TaskId, WorkerReport, WorkerRequest, WorkerResponse, is_readable_record,
 };
 use std::fmt::Write as _;
 use support::{NamedBytes, compare_bytes, compare_text, read_bytes, read_example, read_text, to_hex};
@@ -392,7 +392,7 @@
     let running = (golden("plain_task_key_1"), golden("running_task"));
     let mut scheduler = recovered_scheduler(&[job, full.clone(), running.clone()]);
     scheduler.take_changes();
-    assert!(scheduler.cancel(now(5), PLAIN_JOB));
+    assert_eq!(scheduler.cancel(now(5), PLAIN_JOB), Cancellation::Closed);
     let changes = scheduler.take_changes();
     assert_eq!(to_hex(&written_value(&changes, &full.0)), to_hex(&full.1));
     assert_eq!(to_hex(&written_value(&changes, &running.0)), to_hex(&running.1));
--- a/crates/cluster/job-scheduler/tests/lifecycle.rs
+++ b/crates/cluster/job-scheduler/tests/lifecycle.rs
@@ -3,7 +3,9 @@
 use common::{
     CONFIG, ManualScheduler, ONE_TASK, first_task, is_stop, renewal_to, single_start, started_run, starts,
 };
-use spanlead_job_scheduler::{JobId, JobOutcome, JobState, QueueId, WorkerCall, WorkerResponse};
+use spanlead_job_scheduler::{
+    Cancellation, JobId, JobOutcome, JobState, QueueId, WorkerCall, WorkerResponse,
+};
 use std::collections::BTreeMap;
 
 const LONG_RUNNING_TASK: &str =
@@ -66,7 +68,7 @@
     let start = single_start(&manual.commit());
     manual.acknowledge(&start);
 
-    assert!(manual.scheduler.cancel(manual.now(), JobId(1)));
+    assert_eq!(manual.scheduler.cancel(manual.now(), JobId(1)), Cancellation::Closed);
 
     assert!(manual.commit().iter().any(is_stop), "no stop is sent at once");
     let retries: usize =
@@ -93,10 +95,12 @@
     let renewal = manual.take_waiting_renewal("i-0");
     manual.report(&renewal, &[], &[(1, task, 1, "done")]);
     assert_eq!(manual.scheduler.pending_jobs(&queue), 1, "job 2 is not known to have begun");
-    assert!(manual.scheduler.cancel(manual.now(), JobId(2)));
+    assert_eq!(manual.scheduler.cancel(manual.now(), JobId(2)), Cancellation::Closed);
     assert_eq!(manual.scheduler.pending_jobs(&queue), 0);
 
-    assert!(next.cancel(manual.now(), JobId(1)) && next.cancel(manual.now(), JobId(2)));
+    for job in [JobId(1), JobId(2)] {
+        assert_eq!(next.cancel(manual.now(), job), Cancellation::Closed);
+    }
     assert_eq!(next.pending_jobs(&queue), 0);
 }
 
