data-plane, control-plane: requests have a bounded age when they are carried out

What a stopped process or a link holds may be older than the time for which a cancellation is remembered, which is bounded; then the job would still run. Cause: the data plane counted a request's deadline from the moment at which it read it, however long it had waited in the socket or the accept queue, and the primary took what arrived on a link as new. Change: the HTTP server knows the earliest time at which a request can have been sent (the last look that found the accept queue empty, or the response before), and the data plane refuses one that may be older than 30 s (503, Retry-After). Since it may stop after that check, it takes a token of the primary before the check and sends it along; the primary carries out only what comes with a token that it issued at most 5 s ago by its own clock (freshness.rs). No two clocks are compared. Idle connections are closed after 20 s at the latest. Versions: a token travels as a response to request 0, which the version before ignores; a request with a token goes only to a node that has issued one. Golden bytes of all earlier frames are unchanged. The scripted primary of the data plane's tests, which stood twice, is one module now.

--- a/crates/cluster/control-plane/src/metrics_text.rs
+++ b/crates/cluster/control-plane/src/metrics_text.rs
@@ -12,6 +12,8 @@
     pub scheduler: &'a Scheduler,
     /// The commit latency of the primary's term.
     pub commit_latency: &'a CommitLatency,
+    /// The number of requests that were not carried out because they had waited for too long.
+    pub stale_requests: u64,
 }
 
 /// Renders the metrics of this process: its traffic, the write latency of its disk and, if it is
@@ -21,7 +23,7 @@
     let mut text = traffic::metrics_text();
     let _ = writeln!(text, "spanlead_serves {}", u8::from(primary.is_some()));
     write_histogram(&mut text, "spanlead_own_disk_ms", write_latency);
-    let Some(PrimaryMetrics { scheduler, commit_latency }) = primary else { return text };
+    let Some(PrimaryMetrics { scheduler, commit_latency, stale_requests }) = primary else { return text };
     let batches = commit_latency.metrics();
     let counts = scheduler.counts();
     let metrics = scheduler.metrics();
@@ -34,6 +36,7 @@
         ("spanlead_cancelled_jobs", counts.cancelled_jobs as u64),
         ("spanlead_cancelled_submissions", metrics.cancelled_submissions),
         ("spanlead_refused_cancellations", metrics.refused_cancellations),
+        ("spanlead_stale_requests", stale_requests),
         ("spanlead_units_waiting", counts.pending_units as u64),
         ("spanlead_runs", counts.active_runs as u64),
         ("spanlead_events", counts.events),
--- a/crates/cluster/control-plane/src/node/client_requests.rs
+++ b/crates/cluster/control-plane/src/node/client_requests.rs
@@ -6,6 +6,7 @@
 use async_std::channel::Sender;
 use spanlead_cluster_config::Route;
 use spanlead_cluster_runtime::frame::{ClientOperation, ClientRequest, ClientResponse, Frame};
+use spanlead_cluster_runtime::freshness::FreshnessToken;
 use spanlead_job_scheduler::{Admission, Cancellation, JobId, JobSpec, Now, QueueId, QueuePolicy};
 
 /// The priority of the jobs of a route that sets none.
@@ -34,6 +35,23 @@
 }
 
 impl Node {
+    /// Carries out a client request as [`Node::handle_client_request`] does, unless its token has
+    /// expired: the request then waited for too long, or the data plane had no newer token. It has
+    /// no effect, and the data plane sends it again if the client still waits.
+    pub(super) fn handle_fresh_client_request(
+        &mut self,
+        token: FreshnessToken,
+        request: ClientRequest,
+        replies: Sender<Frame>,
+    ) {
+        if self.token_issuer.is_fresh(token, self.clock.monotonic_ms()) {
+            return self.handle_client_request(request, replies);
+        }
+        log::debug!("request not carried out: its token has expired path={}", request.path);
+        self.stale_requests += 1;
+        let _ = replies.try_send(Frame::ClientResponse(ClientResponse::not_executed(request.request_id)));
+    }
+
     /// Carries out a client request. The response is sent once the changes that it depends on are
     /// committed; a node that is not primary or is shutting down responds at once that it did not
     /// take the request.
--- a/crates/cluster/control-plane/src/node/data_planes.rs
+++ b/crates/cluster/control-plane/src/node/data_planes.rs
@@ -3,7 +3,8 @@
 use super::Node;
 use async_std::channel::Sender;
 use spanlead_cluster_config::DataPlaneConfiguration;
-use spanlead_cluster_runtime::frame::{Directory, Frame};
+use spanlead_cluster_runtime::frame::{ClientResponse, Directory, Frame};
+use spanlead_cluster_runtime::freshness::TOKEN_INTERVAL_MS;
 use spanlead_dissemination::{PEERS_PER_PROCESS, select_peers};
 
 /// A data plane that is connected to this node.
@@ -19,6 +20,8 @@
     subscribers: Vec<Subscriber>,
     /// Whether the gossip peers must be selected and sent again.
     gossip_peers_outdated: bool,
+    /// When the last tokens were sent to all data planes, monotonic milliseconds.
+    tokens_sent_at_ms: u64,
     directory: Directory,
     /// The version of the last configuration that was sent to all data planes; 0 for none.
     configuration_version: u64,
@@ -39,6 +42,21 @@
         self.gossip_peers_outdated = true;
     }
 
+    /// Marks the tokens as outdated, so that new ones are sent at once. Needed when the node becomes
+    /// primary, since only a primary renews them.
+    pub(super) fn mark_tokens_outdated(&mut self) {
+        self.tokens_sent_at_ms = 0;
+    }
+
+    fn are_tokens_due(&self, now_ms: u64) -> bool {
+        now_ms >= self.tokens_sent_at_ms + TOKEN_INTERVAL_MS
+    }
+
+    fn send_token(&mut self, now_ms: u64, token: Frame) {
+        self.tokens_sent_at_ms = now_ms;
+        self.send_to_all(&token);
+    }
+
     fn send_directory(&mut self, directory: Directory) {
         if directory != self.directory {
             self.directory = directory;
@@ -80,8 +98,9 @@
 
 impl Node {
     /// Sends the data planes the directory, the gossip peers and the configuration, each if it has
-    /// changed.
+    /// changed, and from time to time a token.
     pub(super) fn update_data_planes(&mut self) {
+        self.renew_tokens();
         self.data_planes.send_directory(self.directory());
         if self.primary.is_some() {
             self.data_planes.update_gossip_peers();
@@ -92,14 +111,29 @@
         }
     }
 
-    /// Adds a data plane that has connected. Sends it the directory, and the configuration if it is
-    /// newer than `known_version`.
+    /// Sends each data plane a new token if this node is primary and the last one is outdated.
+    fn renew_tokens(&mut self) {
+        let now_ms = self.clock.monotonic_ms();
+        if self.primary.is_some() && self.data_planes.are_tokens_due(now_ms) {
+            self.data_planes.send_token(now_ms, self.token_frame());
+        }
+    }
+
+    fn token_frame(&self) -> Frame {
+        let token = self.token_issuer.issue(self.clock.monotonic_ms());
+        Frame::ClientResponse(ClientResponse::with_token(token))
+    }
+
+    /// Adds a data plane that has connected. Sends it a token, the directory, and the configuration
+    /// if it is newer than `known_version`. The token comes first: a data plane takes a node whose
+    /// directory arrives without one for a node of the previous version.
     pub(super) fn subscribe_data_plane(
         &mut self,
         peer_address: String,
         known_version: u64,
         frames: Sender<Frame>,
     ) {
+        let _ = frames.try_send(self.token_frame());
         let _ = frames.try_send(Frame::Directory(self.data_planes.directory.clone()));
         if let Some(configuration) = self.configuration_newer_than(known_version) {
             let _ = frames.try_send(Frame::Configuration(configuration));
--- a/crates/cluster/control-plane/src/node/mod.rs
+++ b/crates/cluster/control-plane/src/node/mod.rs
@@ -20,6 +20,7 @@
 use shutdown::Shutdown;
 use spanlead_cluster_runtime::clock::Clock;
 use spanlead_cluster_runtime::frame::Frame;
+use spanlead_cluster_runtime::freshness::TokenIssuer;
 use spanlead_cluster_runtime::peer_links::PeerLinks;
 use spanlead_cluster_runtime::settings::Settings;
 use spanlead_job_scheduler::{RecordChange, Scheduler, SchedulerConfig, WorkerCall, WorkerResponse};
@@ -63,6 +64,9 @@
     /// Present from the activation of the replica as primary to its deactivation.
     primary: Option<PrimaryState>,
     data_planes: DataPlanes,
+    token_issuer: TokenIssuer,
+    /// The number of requests that were not carried out because they had waited for too long.
+    stale_requests: u64,
     write_latency: WriteLatency,
     shutdown: Shutdown,
 }
@@ -101,6 +105,8 @@
             replica,
             primary: None,
             data_planes: DataPlanes::default(),
+            token_issuer: TokenIssuer::new(clock.random_seed("token issuer")),
+            stale_requests: 0,
             write_latency: WriteLatency::default(),
             shutdown: Shutdown::new(settings.shutdown_grace_ms()),
         }
@@ -175,6 +181,10 @@
                 log::debug!("data plane connected node={node} peer={peer}");
                 self.subscribe_data_plane(peer, version, replies);
             }
+            (Frame::FreshClientRequest { token, request }, Some(replies)) => {
+                self.handle_fresh_client_request(token, request, replies);
+            }
+            // Of a data plane of the previous version.
             (Frame::ClientRequest(request), Some(replies)) => self.handle_client_request(request, replies),
             _ => {}
         }
@@ -233,6 +243,7 @@
                 log::info!("primary activated term={term} keys={}", keyspace.len());
                 self.primary = Some(primary);
                 self.data_planes.mark_gossip_peers_outdated();
+                self.data_planes.mark_tokens_outdated();
                 self.update_data_planes();
             }
             Err(UnreadableKeys(keys)) => {
--- a/crates/cluster/control-plane/src/node/operator_requests.rs
+++ b/crates/cluster/control-plane/src/node/operator_requests.rs
@@ -85,6 +85,7 @@
         let primary = self.primary.as_ref().map(|primary| PrimaryMetrics {
             scheduler: &primary.scheduler,
             commit_latency: &primary.commit_latency,
+            stale_requests: self.stale_requests,
         });
         metrics_text::render(self.write_latency.histogram(), primary)
     }
--- a/crates/cluster/data-plane/src/client_api.rs
+++ b/crates/cluster/data-plane/src/client_api.rs
@@ -3,6 +3,7 @@
 use spanlead_cluster_config::DataPlaneConfiguration;
 use spanlead_cluster_runtime::clock::Clock;
 use spanlead_cluster_runtime::frame::ClientOperation;
+use spanlead_cluster_runtime::freshness::{EarliestSendTime, MAX_REQUEST_AGE_MS};
 use spanlead_cluster_runtime::http::framing::MessageLimits;
 use spanlead_cluster_runtime::http::server::{self, ConnectionLimits};
 use spanlead_job_scheduler::JobSpec;
@@ -30,6 +31,9 @@
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 const DEFAULT_REQUEST_TIMEOUT_MS: u64 = 3_000;
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
+/// The maximum time-out of an idle connection, milliseconds, whatever the configuration sets. The
+/// next request may have been sent at any time since the last response, and must not seem too old.
+const MAX_IDLE_TIMEOUT_MS: u64 = MAX_REQUEST_AGE_MS * 2 / 3;
 
 /// The state that the request handlers share.
 #[derive(Clone, Debug)]
@@ -98,10 +102,16 @@
 pub async fn serve(address: String, api: ClientApi, max_connections: usize) {
     let control_plane = api.control_plane.clone();
     let limits = move || connection_limits(control_plane.configuration().as_deref());
+    server::serve(address, app(api), Arc::new(limits), max_connections).await;
+}
+
+/// Returns the application that answers clients' requests.
+#[must_use]
+pub fn app(api: ClientApi) -> tide::Server<ClientApi> {
     let mut app = tide::with_state(api);
     app.at("/").all(handle_counted);
     app.at("/*").all(handle_counted);
-    server::serve(address, app, Arc::new(limits), max_connections).await;
+    app
 }
 
 /// Serves the platform's readiness checks at an address. Never returns.
@@ -140,7 +150,9 @@
             DEFAULT_REQUEST_TIMEOUT_MS,
         ),
         idle_timeout: milliseconds(
-            configured.and_then(|limits| limits.idle_timeout_ms),
+            configured
+                .and_then(|limits| limits.idle_timeout_ms)
+                .map(|timeout_ms| timeout_ms.min(MAX_IDLE_TIMEOUT_MS)),
             DEFAULT_IDLE_TIMEOUT_MS,
         ),
     }
@@ -166,8 +178,16 @@
     if api.refuses_requests.load(Ordering::Relaxed) {
         return Ok(response(RequestOutcome::NoEffect));
     }
-    let deadline_ms = api.clock.monotonic_ms() + processing_budget_ms(&request);
-    let deadline_ms = deadline_ms.min(api.answer_by_ms.load(Ordering::Relaxed));
+    // Read before the age: a stop of the process in between shortens the deadline.
+    let now_ms = api.clock.monotonic_ms();
+    let age_limit_ms = remaining_age_ms(&request);
+    if age_limit_ms == 0 {
+        log::debug!("request refused: it may have waited for too long");
+        api.control_plane.outcome_counts().record_stale_request();
+        return Ok(retry_later("request waited for too long"));
+    }
+    let budget_ms = processing_budget_ms(&request).min(age_limit_ms);
+    let deadline_ms = (now_ms + budget_ms).min(api.answer_by_ms.load(Ordering::Relaxed));
     let host = request.host().unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
     let path = request.url().path().to_owned();
@@ -196,15 +216,27 @@
             }
             response
         }
-        RequestOutcome::NoEffect => {
-            let mut response = plain_response(503, "no primary");
-            response.insert_header("Retry-After", RETRY_AFTER_S);
-            response
-        }
+        RequestOutcome::NoEffect => retry_later("no primary"),
         RequestOutcome::Unknown => plain_response(504, "no answer in time"),
     }
 }
 
+/// Returns the response to a request that had no effect and may be sent again.
+fn retry_later(reason: &str) -> Response {
+    let mut response = plain_response(503, reason);
+    response.insert_header("Retry-After", RETRY_AFTER_S);
+    response
+}
+
+/// Returns the time for which a request is certainly not older than [`MAX_REQUEST_AGE_MS`],
+/// milliseconds.
+fn remaining_age_ms(request: &Request<ClientApi>) -> u64 {
+    let sent_after = request.ext::<EarliestSendTime>();
+    let max_age = sent_after.map(EarliestSendTime::max_age).unwrap_or_default();
+    let max_age_ms = u64::try_from(max_age.as_millis()).unwrap_or(u64::MAX);
+    MAX_REQUEST_AGE_MS.saturating_sub(max_age_ms)
+}
+
 /// Returns the time that this process may spend on a request, milliseconds.
 fn processing_budget_ms(request: &Request<ClientApi>) -> u64 {
     let header = request.header(DEADLINE_HEADER);
--- a/crates/cluster/data-plane/src/control_plane_client.rs
+++ b/crates/cluster/data-plane/src/control_plane_client.rs
@@ -7,13 +7,14 @@
 use spanlead_cluster_config::DataPlaneConfiguration;
 use spanlead_cluster_runtime::clock::Clock;
 use spanlead_cluster_runtime::frame::{ClientOperation, ClientRequest, ClientResponse, Directory, Frame};
+use spanlead_cluster_runtime::freshness::FreshnessToken;
 use spanlead_cluster_runtime::peer_links::{LinkEvent, PeerLinks};
 use spanlead_cluster_runtime::peer_server;
 use spanlead_cluster_runtime::settings::Settings;
 use spanlead_cluster_runtime::timeout::timeout;
 use spanlead_dissemination::{Disseminator, Item, Message, Output};
 use spanlead_replication::TrafficClass;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -74,12 +75,30 @@
     }
 }
 
+/// The connection to a node of the control plane.
+#[derive(Clone, Copy, Debug, Default)]
+struct Connection {
+    /// The newest token that the node has issued on this connection; `None` for a node of the
+    /// previous version, which issues none. Others issue one before their first directory.
+    token: Option<FreshnessToken>,
+    /// Whether the node's first directory has arrived.
+    is_subscribed: bool,
+}
+
+/// The primary, as it was found at some moment.
+#[derive(Clone, Debug)]
+struct ConnectedPrimary {
+    address: String,
+    token: Option<FreshnessToken>,
+}
+
 /// The state that all clones of a client share.
 #[derive(Debug)]
 struct State {
     directory: Directory,
-    /// The peer addresses of the connected control plane nodes.
-    connected: BTreeSet<String>,
+    /// The connected control plane nodes, by peer address: those that have responded to this
+    /// process's [`Frame::Hello`].
+    connected: BTreeMap<String, Connection>,
     configuration: Option<Arc<DataPlaneConfiguration>>,
     disseminator: Disseminator,
     requests: PendingRequests,
@@ -88,10 +107,21 @@
 }
 
 impl State {
-    /// Returns the primary's peer address if it is connected.
-    fn connected_primary(&self) -> Option<&str> {
-        let primary = self.directory.primary.as_str();
-        (!primary.is_empty() && self.connected.contains(primary)).then_some(primary)
+    /// Returns the primary if it is connected.
+    fn connected_primary(&self) -> Option<ConnectedPrimary> {
+        let address = &self.directory.primary;
+        let connection = self.connected.get(address).filter(|connection| connection.is_subscribed)?;
+        Some(ConnectedPrimary { address: address.clone(), token: connection.token })
+    }
+
+    /// Records what a frame shows about the connection on which it arrived.
+    fn update_connection(&mut self, address: &str, frame: &Frame) {
+        let Some(connection) = self.connected.get_mut(address) else { return };
+        match frame {
+            Frame::Directory(_) => connection.is_subscribed = true,
+            Frame::ClientResponse(response) => connection.token = response.token().or(connection.token),
+            _ => {}
+        }
     }
 
     /// Replaces the directory by one of a higher epoch; others are ignored. Cancels the requests
@@ -127,7 +157,7 @@
         let client = ControlPlaneClient {
             state: Arc::new(Mutex::new(State {
                 directory: Directory::default(),
-                connected: BTreeSet::new(),
+                connected: BTreeMap::new(),
                 configuration: None,
                 disseminator: Disseminator::new(&settings.peer_address()),
                 requests: PendingRequests::default(),
@@ -185,11 +215,14 @@
     ) -> RequestOutcome {
         let mut effect = AttemptEffect::None;
         loop {
+            // The token must be older than the look at the clock: if this process stops after it,
+            // the token has expired by the time at which the request arrives.
+            let primary = self.observe_primary();
             let now_ms = self.clock.monotonic_ms();
             if now_ms >= deadline_ms {
                 return self.outcome_without_response(effect);
             }
-            let Some(primary) = self.observe_primary() else {
+            let Some(primary) = primary else {
                 if effect == AttemptEffect::None && self.has_primary_timed_out(now_ms) {
                     return RequestOutcome::NoEffect;
                 }
@@ -198,7 +231,8 @@
             };
             let remaining = Duration::from_millis(deadline_ms - now_ms);
             let request = self.send_request(&primary, host, path, operation.clone());
-            let response = self.wait_for_response(&primary, &request, remaining.min(RESPONSE_TIMEOUT)).await;
+            let timeout = remaining.min(RESPONSE_TIMEOUT);
+            let response = self.wait_for_response(&primary.address, &request, timeout).await;
             self.lock().requests.remove(request.id);
             match response {
                 Some(response) if response.status != ClientResponse::NOT_PRIMARY => {
@@ -246,10 +280,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the primary's peer address if it is connected, and records the time at which it was.
-    fn observe_primary(&self) -> Option<String> {
+    /// Returns the primary if it is connected, and records the time at which it was.
+    fn observe_primary(&self) -> Option<ConnectedPrimary> {
         let mut state = self.lock();
-        let primary = state.connected_primary()?.to_owned();
+        let primary = state.connected_primary()?;
         state.primary_seen_at_ms = self.clock.monotonic_ms();
         Some(primary)
     }
@@ -262,19 +296,23 @@
     /// Sends an attempt to the primary under a new request ID.
     fn send_request(
         &self,
-        primary: &str,
+        primary: &ConnectedPrimary,
         host: &str,
         path: &str,
         operation: ClientOperation,
     ) -> RegisteredRequest {
-        let registered = self.lock().requests.register(primary);
+        let registered = self.lock().requests.register(&primary.address);
         let request = ClientRequest {
             request_id: registered.id,
             host: host.to_owned(),
             path: path.to_owned(),
             operation,
         };
-        self.links.send(primary, TrafficClass::Control, &Frame::ClientRequest(request));
+        let frame = match primary.token {
+            Some(token) => Frame::FreshClientRequest { token, request },
+            None => Frame::ClientRequest(request),
+        };
+        self.links.send(&primary.address, TrafficClass::Control, &frame);
         registered
     }
 
@@ -307,7 +345,10 @@
                 state.connected.remove(&address);
                 state.requests.cancel_sent_to(&address);
             }
-            LinkEvent::Received(_, frame) => self.handle_frame(frame),
+            LinkEvent::Received(address, frame) => {
+                self.lock().update_connection(&address, &frame);
+                self.handle_frame(frame);
+            }
         }
     }
 
@@ -315,7 +356,7 @@
     fn handle_connected(&self, address: String) {
         let version = {
             let mut state = self.lock();
-            state.connected.insert(address.clone());
+            state.connected.insert(address.clone(), Connection::default());
             state.disseminator.version()
         };
         let hello =
@@ -409,7 +450,7 @@
 async fn keep_connected(client: ControlPlaneClient) {
     loop {
         for address in client.addresses_to_connect() {
-            if !client.lock().connected.contains(&address) {
+            if !client.lock().connected.contains_key(&address) {
                 client.links.send(&address, TrafficClass::Control, &Frame::Ping);
             }
         }
--- a/crates/cluster/data-plane/src/outcome_counts.rs
+++ b/crates/cluster/data-plane/src/outcome_counts.rs
@@ -1,5 +1,5 @@
-//! Metrics: counts of requests whose outcome is unknown, by cause. Their clients get the status
-//! 504.
+//! Metrics: counts of requests whose outcome is unknown, by cause, and of those that waited for too
+//! long. Clients get the status 504 for the former and 503 for the latter.
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -13,11 +13,13 @@
     RefusedAfterUnanswered,
 }
 
-/// Counts of requests with an unknown outcome since the process started, by cause.
+/// Counts of requests with an unknown outcome since the process started, by cause, and of requests
+/// that were refused for their age.
 #[derive(Debug, Default)]
 pub struct OutcomeCounts {
     no_response: AtomicU64,
     refused_after_unanswered: AtomicU64,
+    stale_requests: AtomicU64,
 }
 
 impl OutcomeCounts {
@@ -26,13 +28,24 @@
         self.counter(cause).fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request that was refused because it may have waited for too long.
+    pub fn record_stale_request(&self) {
+        self.stale_requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The number of requests that were refused because they may have waited for too long.
+    #[must_use]
+    pub fn stale_requests(&self) -> u64 {
+        self.stale_requests.load(Ordering::Relaxed)
+    }
+
     /// The number of requests counted for this cause.
     #[must_use]
     pub fn count(&self, cause: UnknownCause) -> u64 {
         self.counter(cause).load(Ordering::Relaxed)
     }
 
-    /// Formats the counts as metrics, one `name{cause="..."} value` per line.
+    /// Formats the counts as metrics, one `name value` or `name{cause="..."} value` per line.
     #[must_use]
     pub fn metrics_text(&self) -> String {
         let mut text = String::new();
@@ -43,6 +56,7 @@
         for (name, cause) in causes {
             let _ = writeln!(text, "spanlead_unknown_outcomes{{cause=\"{name}\"}} {}", self.count(cause));
         }
+        let _ = writeln!(text, "spanlead_stale_requests {}", self.stale_requests());
         text
     }
 
--- a/crates/cluster/data-plane/tests/client_requests.rs
+++ b/crates/cluster/data-plane/tests/client_requests.rs
@@ -1,70 +1,16 @@
 //! The outcome that a data plane reports to a client when the primary does not respond, rejects the
 //! request or is replaced.
-use async_std::channel::Sender;
+mod common;
+
 use async_std::task;
+use common::{Endpoints, Primary, Script, ScriptedResponse};
 use spanlead_cluster_runtime::clock::Clock;
-use spanlead_cluster_runtime::frame::{ClientOperation, ClientResponse, Directory, Frame};
-use spanlead_cluster_runtime::peer_server;
-use spanlead_cluster_runtime::settings::Settings;
+use spanlead_cluster_runtime::frame::ClientOperation;
 use spanlead_data_plane::control_plane_client::{ControlPlaneClient, RequestOutcome};
 use spanlead_data_plane::outcome_counts::{OutcomeCounts, UnknownCause};
 use spanlead_job_scheduler::JobSpec;
-use std::net::TcpListener;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// A response of the scripted primary to a request.
-#[derive(Clone, Copy)]
-enum ScriptedResponse {
-    /// A response with this HTTP status.
-    Status(u16),
-    /// The node is not primary and did not execute the request.
-    NotTaken,
-    /// The node stopped being primary before the request was committed.
-    Abandoned,
-    NoResponse,
-}
-
-impl ScriptedResponse {
-    fn response(self, request_id: u64) -> Option<ClientResponse> {
-        match self {
-            ScriptedResponse::Status(status) => {
-                Some(ClientResponse { request_id, status, body: String::new() })
-            }
-            ScriptedResponse::NotTaken => Some(ClientResponse::not_executed(request_id)),
-            ScriptedResponse::Abandoned => Some(ClientResponse::outcome_unknown(request_id)),
-            ScriptedResponse::NoResponse => None,
-        }
-    }
-}
-
-/// Returns the response to a request, given the number of requests received before it.
-type Script = fn(usize) -> ScriptedResponse;
-
-/// Serves as the primary at a loopback address. Returns a counter of the requests received.
-fn serve_primary(ip: &str, port: u16, script: Script) -> Arc<AtomicUsize> {
-    let address = format!("{ip}:{port}");
-    let requests = Arc::new(AtomicUsize::new(0));
-    let (received, own_address) = (requests.clone(), address.clone());
-    let handler = move |frame: Frame, replies: &Sender<Frame>| match frame {
-        Frame::Hello { .. } => {
-            let directory =
-                Directory { epoch: 1, primary: own_address.clone(), members: vec![own_address.clone()] };
-            let _ = replies.try_send(Frame::Directory(directory));
-        }
-        Frame::ClientRequest(request) => {
-            let before = received.fetch_add(1, Ordering::SeqCst);
-            if let Some(response) = script(before).response(request.request_id) {
-                let _ = replies.try_send(Frame::ClientResponse(response));
-            }
-        }
-        _ => {}
-    };
-    task::spawn(peer_server::serve(address, Arc::new(handler)));
-    requests
-}
-
 /// The time until a request's deadline, milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 5_000;
 
@@ -96,29 +42,19 @@
 
 /// Sends a request as [`submit`] does, with a deadline in [`REQUEST_TIMEOUT_MS`].
 async fn send(octet: u8, script: Script, operation: ClientOperation) -> RequestResult {
-    let (data_plane_ip, primary_ip) = (format!("127.0.9.{octet}"), format!("127.0.8.{octet}"));
-    let port = TcpListener::bind(format!("{data_plane_ip}:0"))
-        .expect("a free port")
-        .local_addr()
-        .expect("a bound address")
-        .port();
-    let requests = serve_primary(&primary_ip, port, script);
-    let text = format!(
-        r#"{{"node":"edge-1","ip":"{data_plane_ip}","listenAddrs":{{"front":"{data_plane_ip}:1"}},"portRange":[{port},{port}],"seeds":["{primary_ip}:9"]}}"#
-    );
-    let file = tempfile::NamedTempFile::new().expect("a temporary file");
-    std::fs::write(file.path(), text).expect("the settings are written");
-    let settings = Settings::read(&file.path().to_string_lossy()).expect("valid settings");
+    let endpoints = Endpoints::new(octet);
+    let primary = Primary::default();
+    primary.serve(endpoints.primary_address(), script);
     let clock = Clock::start();
-    let control_plane = ControlPlaneClient::start(&settings, clock);
+    let control_plane = ControlPlaneClient::start(&endpoints.settings(), clock);
     let mut outcome = RequestOutcome::NoEffect;
     // Until the primary is connected a request reaches no node and has no effect.
-    while requests.load(Ordering::SeqCst) == 0 {
+    while primary.request_count() == 0 {
         task::sleep(Duration::from_millis(20)).await;
         let deadline_ms = clock.monotonic_ms() + REQUEST_TIMEOUT_MS;
         outcome = control_plane.request("h", "/p/00000000000000aa", &operation, deadline_ms).await;
     }
-    let attempts = requests.load(Ordering::SeqCst);
+    let attempts = primary.request_count();
     assert_unknown_outcomes_counted(&control_plane.outcome_counts(), &outcome, attempts);
     RequestResult { outcome, attempts }
 }
--- a/crates/cluster/data-plane/tests/shutdown.rs
+++ b/crates/cluster/data-plane/tests/shutdown.rs
@@ -1,63 +1,35 @@
 //! The graceful shutdown: no request that was received is left without a response.
-use async_std::channel::Sender;
+mod common;
+
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use async_std::task;
+use common::{Endpoints, Primary, ScriptedResponse};
 use spanlead_cluster_runtime::clock::Clock;
-use spanlead_cluster_runtime::frame::{Directory, Frame};
-use spanlead_cluster_runtime::peer_server;
-use spanlead_cluster_runtime::settings::Settings;
 use spanlead_data_plane::client_api::{self, ClientApi};
 use spanlead_data_plane::control_plane_client::ControlPlaneClient;
 use spanlead_data_plane::shutdown::drain;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-const DATA_PLANE_IP: &str = "127.0.9.40";
-const PRIMARY_IP: &str = "127.0.8.40";
+/// The last octet of the addresses of the data plane and its primary.
+const LAST_OCTET: u8 = 40;
 const GRACE: Duration = Duration::from_secs(4);
 /// The deadline that clients send, milliseconds. The primary does not respond before it.
 const DEADLINE_MS: u64 = 900;
 const CLIENTS: usize = 4;
 
-/// Serves as a primary that never responds to requests.
-fn serve_silent_primary(port: u16) {
-    let address = format!("{PRIMARY_IP}:{port}");
-    let own_address = address.clone();
-    let handler = move |frame: Frame, replies: &Sender<Frame>| {
-        if let Frame::Hello { .. } = frame {
-            let directory =
-                Directory { epoch: 1, primary: own_address.clone(), members: vec![own_address.clone()] };
-            let _ = replies.try_send(Frame::Directory(directory));
-        }
-    };
-    task::spawn(peer_server::serve(address, Arc::new(handler)));
-}
-
-fn free_port() -> u16 {
-    let listener = TcpListener::bind(format!("{DATA_PLANE_IP}:0")).expect("a free port");
-    listener.local_addr().expect("a bound address").port()
-}
-
 /// Starts a data plane whose clients are served at the returned address.
 fn start_data_plane() -> (ClientApi, Arc<AtomicBool>, String) {
-    let (peer_port, client_port) = (free_port(), free_port());
-    serve_silent_primary(peer_port);
-    let address = format!("{DATA_PLANE_IP}:{client_port}");
-    let text = format!(
-        r#"{{"node":"edge-1","ip":"{DATA_PLANE_IP}","listenAddrs":{{"front":"{address}"}},"portRange":[{peer_port},{peer_port}],"seeds":["{PRIMARY_IP}:9"]}}"#
-    );
-    let file = tempfile::NamedTempFile::new().expect("a temporary file");
-    std::fs::write(file.path(), text).expect("the settings are written");
-    let settings = Settings::read(&file.path().to_string_lossy()).expect("valid settings");
+    let endpoints = Endpoints::new(LAST_OCTET);
+    Primary::default().serve(endpoints.primary_address(), |_| ScriptedResponse::NoResponse);
     let clock = Clock::start();
     let is_shutting_down = Arc::new(AtomicBool::new(false));
-    let control_plane = ControlPlaneClient::start(&settings, clock);
+    let control_plane = ControlPlaneClient::start(&endpoints.settings(), clock);
     let api = ClientApi::new(control_plane, is_shutting_down.clone(), clock);
-    task::spawn(client_api::serve(address.clone(), api.clone(), 100));
-    (api, is_shutting_down, address)
+    task::spawn(client_api::serve(endpoints.client_address(), api.clone(), 100));
+    (api, is_shutting_down, endpoints.client_address())
 }
 
 /// Sends requests until it is told to stop, each as soon as the one before is answered, and over a
--- a/crates/cluster/runtime/src/frame.rs
+++ b/crates/cluster/runtime/src/frame.rs
@@ -3,6 +3,7 @@
 //! `rkyv` serialises messages by the order and the types of variants and fields, so these must not
 //! change while processes of two versions run side by side. Names may change.
 #![allow(missing_docs, reason = "the types that rkyv derives from these have undocumented fields")]
+use crate::freshness::FreshnessToken;
 use rkyv::{Archive, Deserialize, Serialize};
 use spanlead_cluster_config::DataPlaneConfiguration;
 use spanlead_job_scheduler::JobSpec;
@@ -52,6 +53,27 @@
     /// previous version, sends an empty body: the request may have been committed.
     const NOT_EXECUTED_BODY: &'static str = "not taken";
 
+    /// The request ID of a response that carries a [`FreshnessToken`]. No request has it, so that
+    /// data planes of the previous version ignore such a response.
+    const TOKEN_REQUEST_ID: u64 = 0;
+
+    /// Creates the response that carries a token to a data plane. The node that sends it accepts
+    /// [`Frame::FreshClientRequest`].
+    #[must_use]
+    pub fn with_token(token: FreshnessToken) -> Self {
+        ClientResponse {
+            request_id: Self::TOKEN_REQUEST_ID,
+            status: Self::NOT_PRIMARY,
+            body: token.to_text(),
+        }
+    }
+
+    /// Returns the token that the response carries; `None` if it is the response to a request.
+    #[must_use]
+    pub fn token(&self) -> Option<FreshnessToken> {
+        if self.request_id == Self::TOKEN_REQUEST_ID { FreshnessToken::from_text(&self.body) } else { None }
+    }
+
     /// Creates the response of a node that is not the primary and so did not start to execute the
     /// request.
     #[must_use]
@@ -117,6 +139,14 @@
     },
     /// A keep-alive probe, answered with another [`Frame::Ping`].
     Ping,
+    /// A client's request with the proof that it is not stale, from a data plane to a node that has
+    /// issued a token.
+    FreshClientRequest {
+        /// The newest token of the node when the data plane found the request recent enough.
+        token: FreshnessToken,
+        /// The request.
+        request: ClientRequest,
+    },
 }
 
 /// The kind of a frame, by which the metrics count frames.
@@ -132,7 +162,7 @@
     Directory,
     /// [`Frame::Configuration`].
     Configuration,
-    /// [`Frame::ClientRequest`].
+    /// [`Frame::ClientRequest`] and [`Frame::FreshClientRequest`].
     ClientRequest,
     /// [`Frame::ClientResponse`].
     ClientResponse,
@@ -189,7 +219,7 @@
             Frame::Hello { .. } => FrameKind::Hello,
             Frame::Directory(_) => FrameKind::Directory,
             Frame::Configuration(_) => FrameKind::Configuration,
-            Frame::ClientRequest(_) => FrameKind::ClientRequest,
+            Frame::ClientRequest(_) | Frame::FreshClientRequest { .. } => FrameKind::ClientRequest,
             Frame::ClientResponse(_) => FrameKind::ClientResponse,
             Frame::GossipPeers(_) => FrameKind::GossipPeers,
             Frame::Gossip { .. } => FrameKind::Gossip,
--- a/crates/cluster/runtime/src/http/server.rs
+++ b/crates/cluster/runtime/src/http/server.rs
@@ -1,10 +1,12 @@
 //! HTTP server that passes the requests of its connections to a `tide` application.
 use super::framing::{FramingError, MessageLimits, Progress, ReceivedRequest, RequestReader};
+use crate::freshness::EarliestSendTime;
 use crate::socket::{listen, write_all_with_timeout};
 use crate::timeout::timeout;
 use async_std::io::ReadExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use futures_lite::future::poll_once;
 use http_types::headers::CONNECTION;
 use http_types::{Method, Response, StatusCode};
 use std::net::Shutdown;
@@ -15,6 +17,9 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Delay before listening or accepting is retried.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between checks whether connections wait to be accepted: the age of a connection is known
+/// up to this.
+const ACCEPT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that a client has to read the last response before its connection is closed, and time-out
 /// for writing an error response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,9 +75,22 @@
     S: Clone + Send + Sync + 'static,
 {
     async fn accept_all(&self, address: &str, listener: &TcpListener) {
+        let mut connected_after = EarliestSendTime(Instant::now());
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => self.spawn_connection(stream),
+            let checked_at = EarliestSendTime(Instant::now());
+            let accepted = match poll_once(listener.accept()).await {
+                // The connection may have waited since the last check that found none.
+                Some(accepted) => accepted,
+                None => {
+                    connected_after = checked_at;
+                    match timeout(ACCEPT_CHECK_INTERVAL, listener.accept()).await {
+                        Ok(accepted) => accepted,
+                        Err(_) => continue,
+                    }
+                }
+            };
+            match accepted {
+                Ok((stream, _)) => self.spawn_connection(stream, connected_after),
                 Err(error) => {
                     log::warn!("http accept failed address={address} error={error}");
                     task::sleep(RETRY_INTERVAL).await;
@@ -81,12 +99,14 @@
         }
     }
 
-    fn spawn_connection(&self, stream: TcpStream) {
+    /// Serves a connection on which the client can have sent nothing before `connected_after`.
+    fn spawn_connection(&self, stream: TcpStream, connected_after: EarliestSendTime) {
         let _ = stream.set_nodelay(true);
         let is_full = Arc::strong_count(&self.open) > self.max_connections;
         let (app, limits, open) = (self.app.clone(), self.limits.clone(), self.open.clone());
         task::spawn(async move {
-            let mut connection = Connection { stream, reader: RequestReader::default() };
+            let reader = RequestReader::default();
+            let mut connection = Connection { stream, reader, next_sent_after: connected_after };
             if is_full {
                 connection.respond_and_close(OVERLOADED_STATUS, "too many connections").await;
             } else if let Err(error) = connection.serve(&app, &limits).await {
@@ -100,6 +120,8 @@
 struct Connection {
     stream: TcpStream,
     reader: RequestReader,
+    /// The earliest time at which the client can have sent the next request.
+    next_sent_after: EarliestSendTime,
 }
 
 /// The outcome of waiting for a request.
@@ -144,18 +166,22 @@
     async fn respond<S>(
         &mut self,
         app: &tide::Server<S>,
-        received: ReceivedRequest,
+        mut received: ReceivedRequest,
         write_timeout: Duration,
     ) -> http_types::Result<bool>
     where
         S: Clone + Send + Sync + 'static,
     {
         let method = received.request.method();
+        received.request.ext_mut().insert(self.next_sent_after);
         let mut response: Response = app.respond(received.request).await?;
         if received.close {
             response.insert_header(CONNECTION, "close");
         }
         let close = response.header(CONNECTION).is_some_and(|value| value.as_str() == "close");
+        if !self.has_received_next_request().await {
+            self.next_sent_after = EarliestSendTime(Instant::now());
+        }
         self.write(response, method, write_timeout).await?;
         if close {
             self.linger().await;
@@ -163,6 +189,22 @@
         Ok(close)
     }
 
+    /// Whether bytes of a further request have arrived already: the client does not wait for the
+    /// response, so this request may have been sent together with the one before.
+    async fn has_received_next_request(&mut self) -> bool {
+        if self.reader.in_head() || self.reader.in_body() {
+            return true;
+        }
+        let mut buffer = [0; READ_BYTES];
+        match poll_once(self.stream.read(&mut buffer)).await {
+            Some(Ok(count)) if count > 0 => {
+                self.reader.push(&buffer[..count]);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Reads until a request is complete, invalid or timed out, or the connection ends.
     async fn next_request(&mut self, limits: ConnectionLimits) -> std::io::Result<NextRequest> {
         let mut head_started_at = None;
--- a/crates/cluster/runtime/src/lib.rs
+++ b/crates/cluster/runtime/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! - Communication between processes: [`frame`] and [`frame_codec`] (messages and their encoding),
 //!   [`peer_links`] (outgoing connections), [`peer_server`] (incoming connections), [`traffic`]
-//!   (counters), [`socket`] (listening and writing), [`mod@timeout`].
+//!   (counters), [`socket`] (listening and writing), [`mod@timeout`], [`freshness`] (bounds on the
+//!   age of requests).
 //! - Communication with clients, operators, workers and the platform: [`http`].
 //! - The process itself: [`program`], [`settings`], [`signals`], [`clock`], [`logs`], [`metrics`].
 #![warn(missing_docs, unreachable_pub)]
@@ -16,6 +17,7 @@
 pub mod clock;
 pub mod frame;
 pub mod frame_codec;
+pub mod freshness;
 pub mod http;
 pub mod logs;
 pub mod metrics;
--- a/crates/cluster/runtime/tests/golden.rs
+++ b/crates/cluster/runtime/tests/golden.rs
@@ -8,6 +8,7 @@
     ClientOperation, ClientRequest, ClientResponse, Directory, Frame, FrameKind,
 };
 use spanlead_cluster_runtime::frame_codec::{decode, encode};
+use spanlead_cluster_runtime::freshness::FreshnessToken;
 use spanlead_cluster_runtime::settings::{SETTINGS_PATH_VARIABLE, Settings, SettingsError};
 use spanlead_cluster_runtime::traffic;
 use spanlead_dissemination::{Item, Message as GossipMessage};
@@ -26,14 +27,20 @@
     Envelope { from: MemberId(0x1111_2222_3333_4441), to: Some(MemberId(0x1111_2222_3333_4442)), message }
 }
 
-fn request(operation: ClientOperation) -> Frame {
+const TOKEN: FreshnessToken =
+    FreshnessToken { issuer: 0x1111_2222_3333_4443, issued_at_ms: 0x0102_0304_0506_0708 };
+
+fn client_request(operation: ClientOperation) -> ClientRequest {
     let path = "/v1/nightly/0123456789abcdef".to_owned();
-    Frame::ClientRequest(ClientRequest {
-        request_id: 0x0102_0304,
-        host: "jobs.example".into(),
-        path,
-        operation,
-    })
+    ClientRequest { request_id: 0x0102_0304, host: "jobs.example".into(), path, operation }
+}
+
+fn request(operation: ClientOperation) -> Frame {
+    Frame::ClientRequest(client_request(operation))
+}
+
+fn fresh_request(operation: ClientOperation) -> Frame {
+    Frame::FreshClientRequest { token: TOKEN, request: client_request(operation) }
 }
 
 fn limits() -> Limits {
@@ -88,6 +95,8 @@
         ("gossip_want", gossip(GossipMessage::Request { version: 41 })),
         ("gossip_bring", gossip(GossipMessage::Deliver { item })),
         ("ping", Frame::Ping),
+        ("call_fresh", fresh_request(ClientOperation::Submit(job()))),
+        ("reply_token", Frame::ClientResponse(ClientResponse::with_token(TOKEN))),
     ]
 }
 
@@ -105,7 +114,9 @@
         Frame::ClientRequest(ClientRequest { operation: ClientOperation::Submit(_), .. }) => "call_submit",
         Frame::ClientRequest(ClientRequest { operation: ClientOperation::Query, .. }) => "call_state",
         Frame::ClientRequest(ClientRequest { operation: ClientOperation::Cancel, .. }) => "call_cancel",
+        Frame::ClientResponse(response) if response.token().is_some() => "reply_token",
         Frame::ClientResponse(_) => "reply",
+        Frame::FreshClientRequest { .. } => "call_fresh",
         Frame::GossipPeers(_) => "peers",
         Frame::Gossip { message: GossipMessage::Advertise { .. }, .. } => "gossip_have",
         Frame::Gossip { message: GossipMessage::Acknowledge, .. } => "gossip_alive",
@@ -116,7 +127,7 @@
 }
 
 /// Number of examples in the golden file.
-const EXAMPLE_COUNT: usize = 15;
+const EXAMPLE_COUNT: usize = 17;
 
 #[test]
 fn every_kind_of_frame_has_an_example() {
--- a/crates/cluster/runtime/tests/http_server.rs
+++ b/crates/cluster/runtime/tests/http_server.rs
@@ -6,11 +6,12 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use common::{connect, free_address};
+use spanlead_cluster_runtime::freshness::EarliestSendTime;
 use spanlead_cluster_runtime::http::framing::MessageLimits;
 use spanlead_cluster_runtime::http::server::{self, ConnectionLimits};
 use std::net::Shutdown;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Serves an application that responds with the request's method, path and body length, with up to
 /// 4 connections. Returns its address.
@@ -153,3 +154,87 @@
     stream.write_all(b"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").await.expect("written");
     assert!(read_to_end(&mut stream).await.contains("GET /1 0"));
 }
+
+/// Serves an application that responds, after 100 ms, with the time between the start of the test
+/// and the earliest time at which the request can have been sent, milliseconds. Returns its address.
+fn serve_send_times(started_at: Instant) -> String {
+    let address = free_address();
+    let mut app = tide::new();
+    app.at("/*").all(move |request: tide::Request<()>| async move {
+        task::sleep(RESPONSE_DELAY).await;
+        let sent_after = request.ext::<EarliestSendTime>().expect("attached by the server");
+        Ok(format!("{}.", sent_after.0.duration_since(started_at).as_millis()))
+    });
+    let limits = || ConnectionLimits {
+        message: MessageLimits { max_head_bytes: 2_048, max_body_bytes: 4_096 },
+        request_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_secs(5),
+    };
+    task::spawn(server::serve(address.clone(), app, Arc::new(limits), 4));
+    address
+}
+
+const RESPONSE_DELAY: Duration = Duration::from_millis(100);
+
+/// Reads one response of [`serve_send_times`].
+async fn read_send_time(stream: &mut TcpStream) -> Duration {
+    let mut text = String::new();
+    let mut byte = [0];
+    while !text.ends_with('.') || !text.contains("\r\n\r\n") {
+        stream.read_exact(&mut byte).await.expect("a response");
+        text.push(char::from(byte[0]));
+    }
+    let body = text.rsplit("\r\n").next().expect("a body");
+    Duration::from_millis(body.trim_end_matches('.').parse().expect("a number"))
+}
+
+const REQUEST: &[u8] = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// The next request of a client that waits for responses was sent after the last response, however
+/// long the connection is kept.
+#[async_std::test]
+async fn request_on_a_kept_connection_was_sent_after_the_last_response() {
+    let started_at = Instant::now();
+    let mut stream = connect(&serve_send_times(started_at)).await;
+    for _ in 0..3 {
+        let sent_at = started_at.elapsed();
+        stream.write_all(REQUEST).await.expect("written");
+        let sent_after = read_send_time(&mut stream).await;
+        assert!(sent_after <= sent_at, "{sent_after:?} is later than {sent_at:?}");
+        let responded_at = started_at.elapsed();
+        task::sleep(RESPONSE_DELAY).await;
+        stream.write_all(REQUEST).await.expect("written");
+        let next_sent_after = read_send_time(&mut stream).await;
+        assert!(next_sent_after + RESPONSE_DELAY / 2 >= responded_at, "{next_sent_after:?}");
+    }
+}
+
+/// A request that is sent without waiting for the response before it may be as old as that request.
+#[async_std::test]
+async fn pipelined_requests_may_have_been_sent_together() {
+    let started_at = Instant::now();
+    let mut stream = connect(&serve_send_times(started_at)).await;
+    let sent_at = started_at.elapsed();
+    for _ in 0..3 {
+        stream.write_all(REQUEST).await.expect("written");
+    }
+    for _ in 0..3 {
+        let sent_after = read_send_time(&mut stream).await;
+        assert!(sent_after <= sent_at, "{sent_after:?} is later than {sent_at:?}");
+    }
+}
+
+/// An idle server knows about a new connection that it is new.
+#[async_std::test]
+async fn request_on_a_new_connection_was_sent_recently_although_the_server_was_idle() {
+    let started_at = Instant::now();
+    let address = serve_send_times(started_at);
+    drop(connect(&address).await);
+    task::sleep(Duration::from_millis(2_500)).await;
+    let connected_at = started_at.elapsed();
+    let mut stream = connect(&address).await;
+    stream.write_all(REQUEST).await.expect("written");
+    let sent_after = read_send_time(&mut stream).await;
+    assert!(sent_after <= connected_at, "{sent_after:?} is later than {connected_at:?}");
+    assert!(sent_after + Duration::from_millis(1_500) >= connected_at, "{sent_after:?}");
+}
