data-plane: refused requests don't keep a process from ending

Cause: `handle_counted` raised the count before the request was refused. Change: a refused request is answered before it is counted, with `Connection: close` as every response of a process that shuts down.

--- a/crates/cluster/data-plane/src/client_api.rs
+++ b/crates/cluster/data-plane/src/client_api.rs
@@ -158,9 +158,15 @@
     }
 }
 
-/// Handles a request, which counts as open until it is answered.
+/// Handles a request, which counts as open until it is answered. A refused one does not count: it is
+/// answered at once, and clients that never pause would keep the process from ending.
 async fn handle_counted(request: Request<ClientApi>) -> tide::Result {
     let api = request.state().clone();
+    if api.refuses_requests.load(Ordering::Relaxed) {
+        let mut response = response(RequestOutcome::NoEffect);
+        response.insert_header("Connection", "close");
+        return Ok(response);
+    }
     api.open_requests.fetch_add(1, Ordering::Relaxed);
     api.last_request_ms.store(api.clock.monotonic_ms(), Ordering::Relaxed);
     let response = handle(request, &api).await;
@@ -175,9 +181,6 @@
 /// Translates an HTTP request into an operation, forwards it to the primary and returns the
 /// response.
 async fn handle(mut request: Request<ClientApi>, api: &ClientApi) -> tide::Result {
-    if api.refuses_requests.load(Ordering::Relaxed) {
-        return Ok(response(RequestOutcome::NoEffect));
-    }
     // Read before the age: a stop of the process in between shortens the deadline.
     let now_ms = api.clock.monotonic_ms();
     let age_limit_ms = remaining_age_ms(&request);
