cluster-testbed: the soak cancels jobs, and stops machines of the data plane

Cause: the soak cancelled nothing and never stopped a data plane, so it could not show UNASKED. Change: a quarter as many clients again submit over connections of their own, give up soon (the connection closed or kept), cancel the job at any machine until that is acknowledged, and in part submit it once more. Data planes stand still for 0.3 to 4.5 s in the middle third, overlapping. The checker: nothing of a job starts once its cancel was answered 410, nor later than `cancel_ms` after a 200.

--- a/crates/tools/cluster-testbed/src/clients.rs
+++ b/crates/tools/cluster-testbed/src/clients.rs
@@ -50,6 +50,10 @@
     pub succeeded: usize,
     /// Jobs that were shown as failed.
     pub failed: usize,
+    /// Jobs whose cancellation was acknowledged.
+    pub cancelled: usize,
+    /// Those of them that the scheduler did not know.
+    pub cancelled_unknown: usize,
     /// What clients saw that must not happen.
     pub violations: Vec<String>,
 }
--- a/crates/tools/cluster-testbed/src/safety_checker.rs
+++ b/crates/tools/cluster-testbed/src/safety_checker.rs
@@ -9,6 +9,9 @@
 const HEDGED_START_SLACK_MS: u64 = 1_000;
 /// Failed runs after which a task may not start again: that of the testbed's queue.
 const MAX_ATTEMPTS: u32 = 3;
+/// How long after the acknowledgement of its cancellation a known job may still start a task,
+/// milliseconds (`cancel_ms`): an order may have been under way. Nothing of an unknown job was.
+const CANCELLATION_SLACK_MS: u64 = 3_000;
 
 /// A successful end that the worker still has to report.
 #[derive(Clone, Debug)]
@@ -27,6 +30,14 @@
     task: TaskId,
 }
 
+/// An acknowledged cancellation.
+#[derive(Clone, Copy, Debug)]
+struct AcknowledgedCancellation {
+    acknowledged_at_ms: u64,
+    /// Whether the scheduler knew the job.
+    was_known: bool,
+}
+
 /// Where a task runs.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct RunOnWorker {
@@ -63,6 +74,8 @@
     /// How many failed runs of a task were acknowledged.
     acknowledged_failures: BTreeMap<TaskId, u32>,
     last_start_ms: BTreeMap<TaskId, u64>,
+    /// The first acknowledged cancellation of each job.
+    cancellations: BTreeMap<JobId, AcknowledgedCancellation>,
 }
 
 impl SafetyChecker {
@@ -72,6 +85,12 @@
         self.max_attempts = MAX_ATTEMPTS;
     }
 
+    /// Records that the cancellation of a job was acknowledged.
+    pub fn record_cancellation(&mut self, now_ms: u64, job: JobId, was_known: bool) {
+        let cancellation = AcknowledgedCancellation { acknowledged_at_ms: now_ms, was_known };
+        self.cancellations.entry(job).or_insert(cancellation);
+    }
+
     /// The stage of a task; `None` if its job was never submitted.
     pub fn stage(&self, task: TaskId) -> Option<&Stage> {
         self.specs.get(&task.job)?.stages.get(usize::from(task.stage))
@@ -87,6 +106,7 @@
         let stage = spec.stages[usize::from(task.stage)].clone();
         self.check_single_run(now_ms, worker_id, run, &stage);
         self.check_not_ended(now_ms, run, &stage);
+        self.check_not_cancelled(now_ms, task);
         self.check_dependencies(task, &stage);
         self.check_attempts(task, &stage);
         self.last_start_ms.insert(task, now_ms);
@@ -115,6 +135,19 @@
         }
     }
 
+    /// Nothing of a job starts once its cancellation was acknowledged.
+    fn check_not_cancelled(&mut self, now_ms: u64, task: TaskId) {
+        let Some(cancellation) = self.cancellations.get(&task.job) else { return };
+        let AcknowledgedCancellation { acknowledged_at_ms, was_known } = *cancellation;
+        let elapsed_ms = now_ms.saturating_sub(acknowledged_at_ms);
+        if was_known && elapsed_ms <= CANCELLATION_SLACK_MS {
+            return;
+        }
+        let job = if was_known { "known job" } else { "unknown job" };
+        self.violations
+            .push(format!("UNASKED: {task} starts {elapsed_ms} ms after its cancel was answered: {job}"));
+    }
+
     /// A task starts after all tasks of the stages that its stage depends on.
     fn check_dependencies(&mut self, task: TaskId, stage: &Stage) {
         let Some(spec) = self.specs.get(&task.job) else { return };
--- a/crates/tools/cluster-testbed/src/soak/kept_client.rs
+++ b/crates/tools/cluster-testbed/src/soak/kept_client.rs
@@ -197,7 +197,8 @@
     }
 }
 
-fn job_path(id: JobId) -> String {
+/// The path of a job in the soak's queue.
+pub(super) fn job_path(id: JobId) -> String {
     format!("{PATH_PREFIX}{id}")
 }
 
@@ -205,7 +206,8 @@
     lock(&context.tally).violations.push(format!("LOST: {id} {what}"));
 }
 
-fn request(address: &str, method: Method, path: &str, body: Option<String>) -> Option<Request> {
+/// A request of a client, with its deadline.
+pub(super) fn request(address: &str, method: Method, path: &str, body: Option<String>) -> Option<Request> {
     let url = Url::parse(&format!("http://{address}{path}")).ok()?;
     let mut request = Request::new(method, url);
     request.insert_header("Host", HOST);
--- a/crates/tools/cluster-testbed/src/soak/mod.rs
+++ b/crates/tools/cluster-testbed/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Judged are the jobs (by the checker that a trial has too), requests that are cut during planned
 //! work, changes of the configuration, and processes that end by themselves or not in time.
+mod cancelling_client;
 mod disturbances;
 mod driver;
 mod kept_client;
@@ -17,6 +18,7 @@
 use crate::process_control::{Layout, Machines, Ports, TrialError, program_folder};
 use crate::report::quantile;
 use async_std::task;
+use cancelling_client::CancellingClient;
 use disturbances::Disturbances;
 use driver::Driver;
 use kept_client::{CutRequest, KeptClient};
@@ -32,6 +34,8 @@
 const FINISH_TIMEOUT: Duration = Duration::from_secs(60);
 /// The seed of client `n` is the soak's seed times this, plus `n`.
 const CLIENT_SEED_FACTOR: u64 = 1_000_003;
+/// Besides so many clients there is one that cancels its jobs.
+const CLIENTS_PER_CANCELLING_CLIENT: usize = 4;
 /// The latencies that are printed.
 const QUANTILES: [f64; 2] = [0.5, 0.99];
 
@@ -123,6 +127,11 @@
     Ok(print_result(options, &context, &mut driver, counts))
 }
 
+/// The number of clients that cancel their jobs.
+fn cancelling_count(options: &SoakOptions) -> usize {
+    options.clients.div_ceil(CLIENTS_PER_CANCELLING_CLIENT)
+}
+
 /// Lets clients and the operator work while the plan is carried out. Returns the numbers of changes
 /// and of checked routes.
 async fn run_load(
@@ -136,9 +145,12 @@
     let clients: Vec<_> = (0..options.clients)
         .map(|number| task::spawn(KeptClient::new(context.clone(), client_seed(number)).run()))
         .collect();
+    let cancelling_clients: Vec<_> = (options.clients..options.clients + cancelling_count(options))
+        .map(|number| task::spawn(CancellingClient::new(context.clone(), client_seed(number)).run()))
+        .collect();
     let operator = task::spawn(operator.run());
     driver.run(&plan::draw(options)).await?;
-    for client in clients {
+    for client in clients.into_iter().chain(cancelling_clients) {
         client.await;
     }
     Ok(operator.await)
@@ -156,6 +168,7 @@
     let tally = lock(&context.tally);
     print_counts(options, &tally, fleet.checker.starts);
     println!("actions {}, configurations {changes}, routes checked {checks}", driver.actions);
+    println!("cancelled {}, of these unknown {}", tally.cancelled, tally.cancelled_unknown);
     println!("requests cut {}, of these judged {}", context.cut_count(), cuts.len());
     let mut violations: Vec<String> = [&fleet.checker.violations, &tally.violations, &driver.violations]
         .into_iter()
@@ -167,8 +180,8 @@
         let age = cut.closed_at - cut.sent_at;
         format!("LOST: cut after {} ms: {}", age.as_millis(), cut.description)
     }));
-    if tally.succeeded == 0 || checks == 0 {
-        violations.push("nothing was served or checked".to_owned());
+    if tally.succeeded == 0 || checks == 0 || tally.cancelled == 0 {
+        violations.push("nothing was served, checked or cancelled".to_owned());
     }
     for violation in &violations {
         println!("BROKEN: {violation}");
--- a/crates/tools/cluster-testbed/src/soak/plan.rs
+++ b/crates/tools/cluster-testbed/src/soak/plan.rs
@@ -21,6 +21,11 @@
 const CONTROL_GAP_MS: Range<u64> = 5_500..8_000;
 /// Between two crashes of workers, milliseconds.
 const CRASH_GAP_MS: Range<u64> = 800..4_000;
+/// How long a machine of the data plane stands still, milliseconds: some of the requests that it
+/// holds are older than their clients' deadlines when it goes on.
+const DATA_PLANE_FREEZE_MS: Range<u64> = 300..4_500;
+/// Between two freezes of machines of the data plane, milliseconds.
+const FREEZE_GAP_MS: Range<u64> = 300..2_500;
 /// The largest number of SIGHUP in a series.
 const MAX_RELOADS: usize = 4;
 
@@ -108,6 +113,7 @@
     };
     planner.draw_reloads();
     planner.draw_restarts_of_data_planes();
+    planner.draw_freezes_of_data_planes();
     planner.draw_control_plane_actions();
     planner.draw_worker_crashes();
     planner.actions.sort_by_key(|planned| planned.at_ms);
@@ -156,6 +162,18 @@
         }
     }
 
+    /// Freezes of data planes in the middle third, which overlap.
+    fn draw_freezes_of_data_planes(&mut self) {
+        let mut at_ms = self.crashes_ms.start + self.rng.random_range(FREEZE_GAP_MS);
+        while at_ms < self.crashes_ms.end {
+            let data = self.data.clone();
+            let machine = self.pick(&data);
+            let outage_ms = self.rng.random_range(DATA_PLANE_FREEZE_MS);
+            self.push(at_ms, Action::Freeze { machine, outage_ms });
+            at_ms += self.rng.random_range(FREEZE_GAP_MS);
+        }
+    }
+
     /// One action on the control plane at a time: restarts, and crashes in the middle third.
     fn draw_control_plane_actions(&mut self) {
         let mut at_ms = self.rng.random_range(SERIES_PAUSE_MS);
--- a/crates/tools/cluster-testbed/tests/violations.rs
+++ b/crates/tools/cluster-testbed/tests/violations.rs
@@ -59,3 +59,27 @@
         assert!(text.contains(row), "{row} is not in\n{text}");
     }
 }
+
+/// A start may have been under way when the cancellation of a known job was acknowledged. Nothing
+/// of a job was that the scheduler did not know.
+#[test]
+fn start_after_an_acknowledged_cancellation_is_a_violation() {
+    let mut in_time = checker();
+    in_time.record_cancellation(10, JOB, true);
+    in_time.record_start(3_010, "i-0-0", run(1));
+    assert!(in_time.violations.is_empty(), "{:?}", in_time.violations);
+    let mut checker = checker();
+    checker.record_cancellation(10, JOB, true);
+    checker.record_start(3_011, "i-0-0", run(1));
+    let known = format!("UNASKED: {TASK} starts 3001 ms after its cancel was answered: known job");
+    assert_eq!(checker.violations, [known]);
+}
+
+#[test]
+fn start_after_an_acknowledged_cancellation_of_an_unknown_job_is_a_violation_at_once() {
+    let mut checker = checker();
+    checker.record_cancellation(10, JOB, false);
+    checker.record_start(10, "i-0-0", run(1));
+    let unknown = format!("UNASKED: {TASK} starts 0 ms after its cancel was answered: unknown job");
+    assert_eq!(checker.violations, [unknown]);
+}
