--- a/crates/cluster/control-plane/tests/signals.rs
+++ b/crates/cluster/control-plane/tests/signals.rs
@@ -1,39 +1,13 @@
 //! Signals to the real program while it starts.
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+mod process;
+
+use process::{Process, start_control_plane};
 use std::time::{Duration, Instant};
 
-const PROGRAM_PATH: &str = env!("CARGO_BIN_EXE_spanlead-control-plane");
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// The bit of SIGHUP, signal 1, in the masks of `/proc/PID/status`.
 const SIGHUP_BIT: u64 = 1;
 
-/// The program's process, which is killed when this is dropped.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn start_control_plane(folder: &Path) -> Process {
-    let settings = format!(
-        r#"{{"node":"core-1","ip":"127.0.10.1","listenAddrs":{{"control":"127.0.10.1:0"}},"portRange":[0,0],"seeds":["127.0.10.1:9"],"bootstrap":true,"dataDir":"{}"}}"#,
-        folder.join("data").display()
-    );
-    std::fs::create_dir(folder.join("data")).expect("the data folder is made");
-    std::fs::write(folder.join("settings.json"), settings).expect("the settings are written");
-    let child = Command::new(PROGRAM_PATH)
-        .env("SPANLEAD_CONFIG", folder.join("settings.json"))
-        .stdin(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program starts");
-    Process(child)
-}
-
 /// Whether the process handles SIGHUP rather than being ended by it.
 fn handles_sighup(process: &Process) -> bool {
     let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id())).expect("Linux");
@@ -47,7 +21,7 @@
 #[test]
 fn sighup_is_handled_before_the_data_folder_is_opened() {
     let folder = tempfile::tempdir().expect("a temporary folder");
-    let process = start_control_plane(folder.path());
+    let process = start_control_plane(folder.path(), "127.0.10.1", 0);
     let data_file = folder.path().join("data").join("control.redb");
     let deadline = Instant::now() + START_TIMEOUT;
     while !data_file.exists() {
--- a/crates/cluster/control-plane/tests/stale_requests.rs
+++ b/crates/cluster/control-plane/tests/stale_requests.rs
@@ -1,49 +1,23 @@
 //! The real program carries out a data plane's requests only with a token that it issued recently,
 //! and those of a data plane of the version before, which sends none.
+mod process;
+
 use async_std::channel::{Receiver, unbounded};
 use async_std::task;
+use process::start_control_plane;
 use spanlead_cluster_runtime::frame::{ClientOperation, ClientRequest, ClientResponse, Frame};
 use spanlead_cluster_runtime::freshness::{FreshnessToken, TOKEN_INTERVAL_MS, TOKEN_VALIDITY_MS};
 use spanlead_cluster_runtime::peer_links::{LinkEvent, PeerLinks};
 use spanlead_cluster_runtime::timeout::timeout;
 use spanlead_replication::TrafficClass;
 use std::net::TcpListener;
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-const PROGRAM_PATH: &str = env!("CARGO_BIN_EXE_spanlead-control-plane");
 const IP: &str = "127.0.10.2";
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// The status of a request that was carried out: the program has no configuration.
 const CARRIED_OUT: u16 = 503;
 
-/// The program's process, which is killed when this is dropped.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn start_control_plane(folder: &Path, port: u16) -> Process {
-    let settings = format!(
-        r#"{{"node":"core-1","ip":"{IP}","listenAddrs":{{"control":"{IP}:0"}},"portRange":[{port},{port}],"seeds":["{IP}:9"],"bootstrap":true,"countsForQuorum":true,"dataDir":"{}"}}"#,
-        folder.join("data").display()
-    );
-    std::fs::create_dir(folder.join("data")).expect("the data folder is made");
-    std::fs::write(folder.join("settings.json"), settings).expect("the settings are written");
-    let child = Command::new(PROGRAM_PATH)
-        .env("SPANLEAD_CONFIG", folder.join("settings.json"))
-        .stdin(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program starts");
-    Process(child)
-}
-
 /// A data plane's connection to the program.
 struct DataPlane {
     links: PeerLinks,
@@ -117,7 +91,7 @@
 async fn request_is_carried_out_only_with_a_token_that_has_not_expired() {
     let folder = tempfile::tempdir().expect("a temporary folder");
     let port = TcpListener::bind((IP, 0)).expect("a free port").local_addr().expect("bound").port();
-    let _process = start_control_plane(folder.path(), port);
+    let _process = start_control_plane(folder.path(), IP, port);
     let deadline = Instant::now() + START_TIMEOUT;
     let address = format!("{IP}:{port}");
     let mut data_plane = loop {
@@ -148,7 +122,7 @@
 async fn token_is_the_first_frame_of_a_connection() {
     let folder = tempfile::tempdir().expect("a temporary folder");
     let port = TcpListener::bind((IP, 0)).expect("a free port").local_addr().expect("bound").port();
-    let _process = start_control_plane(folder.path(), port);
+    let _process = start_control_plane(folder.path(), IP, port);
     let deadline = Instant::now() + START_TIMEOUT;
     let first = loop {
         assert!(Instant::now() < deadline, "the program does not answer");
--- a/crates/cluster/data-plane/tests/stale_requests.rs
+++ b/crates/cluster/data-plane/tests/stale_requests.rs
@@ -34,7 +34,7 @@
     request
 }
 
-async fn start_api(endpoints: &Endpoints) -> ClientApi {
+fn start_api(endpoints: &Endpoints) -> ClientApi {
     let clock = Clock::start();
     let control_plane = ControlPlaneClient::start(&endpoints.settings(), clock);
     ClientApi::new(control_plane, Arc::default(), clock)
@@ -57,7 +57,7 @@
     let endpoints = Endpoints::new(20);
     let primary = Primary::with_token(TOKEN);
     primary.serve(endpoints.primary_address(), accept);
-    let api = start_api(&endpoints).await;
+    let api = start_api(&endpoints);
     assert_eq!(u16::from(submit_until_received(&api, &primary).await.status()), 200);
 
     let sent_after = Instant::now()
@@ -80,7 +80,7 @@
     let endpoints = Endpoints::new(21);
     let primary = Primary::with_token(TOKEN);
     primary.serve(endpoints.primary_address(), |_| ScriptedResponse::NotTaken);
-    let api = start_api(&endpoints).await;
+    let api = start_api(&endpoints);
     submit_until_received(&api, &primary).await;
 
     let remaining = Duration::from_millis(200);
@@ -104,7 +104,7 @@
         let endpoints = Endpoints::new(octet);
         let primary = token.map_or_else(Primary::default, Primary::with_token);
         primary.serve(endpoints.primary_address(), accept);
-        let api = start_api(&endpoints).await;
+        let api = start_api(&endpoints);
         submit_until_received(&api, &primary).await;
         for received in primary.received() {
             assert_eq!(received.token, token);
--- a/crates/cluster/job-scheduler/src/lib.rs
+++ b/crates/cluster/job-scheduler/src/lib.rs
@@ -22,9 +22,10 @@
 //!   Calls of an earlier term have no effect on a worker that has responded to the current one.
 //!
 //! Components, each with its own state and invariants: [`jobs`] (job table), [`cancelled_jobs`]
-//! (identifiers that may not be submitted any more), [`workers`] (registry and leases), [`pending`] (queue), [`placement`], [`calls`] (calls in flight, time-outs,
-//! throttle), [`renewal`] (schedule of lease renewals), [`commit`] (write batches) and
-//! [`occurrence_timer`]. [`scheduler`] coordinates them.
+//! (identifiers that may not be submitted any more), [`workers`] (registry and leases), [`pending`]
+//! (queue), [`placement`], [`calls`] (calls in flight, time-outs, throttle), [`renewal`] (schedule of
+//! lease renewals), [`commit`] (write batches) and [`occurrence_timer`]. [`scheduler`] coordinates
+//! them.
 #![warn(
     missing_docs,
     unreachable_pub,
