job-scheduler: identifiers of cancelled jobs are forgotten in the periodic check

Cause: they were forgotten only when another was added, so after a flood the state did not shrink by itself, and two for each new one were needed while it went on. Measured: tests of cancellation.rs pass.

--- a/crates/cluster/job-scheduler/src/scheduler/cancellation.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/cancellation.rs
@@ -12,9 +12,9 @@
 /// The age of a closed job's retention from which on a cancellation renews it, milliseconds, so that
 /// repeated cancellations cost few writes.
 const RENEWAL_AGE_MS: u64 = 10_000;
-/// The maximum number of identifiers that are forgotten for each one that is added: a batch stays
-/// small, and the number falls all the same.
-const FORGOTTEN_PER_ADDITION: usize = 2;
+/// The maximum number of identifiers that are forgotten in one check, so that neither the check nor
+/// its batch is long.
+const MAX_FORGOTTEN_PER_CHECK: usize = 500;
 
 impl Scheduler {
     /// Cancels a job, unless it is closed already. The identifier of an unknown job is remembered.
@@ -49,13 +49,8 @@
         }
     }
 
-    /// Remembers the identifier of a cancelled job, and forgets older ones that may be forgotten.
-    /// Returns `false` if there is no room.
+    /// Remembers the identifier of a cancelled job. Returns `false` if there is no room.
     fn remember_cancellation(&mut self, now: Now, job: JobId, cancelled_at_ms: u64) -> bool {
-        for _ in 0..FORGOTTEN_PER_ADDITION {
-            let Some(expired) = self.cancelled_jobs.next_expired(now.monotonic_ms) else { break };
-            self.record_event(now.monotonic_ms, Event::CancellationForgotten { job: expired });
-        }
         if !self.cancelled_jobs.has_room() {
             return false;
         }
@@ -63,6 +58,15 @@
         true
     }
 
+    /// Forgets identifiers of cancelled jobs that need not be remembered any longer, if there are
+    /// many.
+    pub(super) fn forget_expired_cancellations(&mut self, now: Now) {
+        for _ in 0..MAX_FORGOTTEN_PER_CHECK {
+            let Some(job) = self.cancelled_jobs.next_expired(now.monotonic_ms) else { return };
+            self.record_event(now.monotonic_ms, Event::CancellationForgotten { job });
+        }
+    }
+
     /// Removes closed jobs whose retention is over. A job that still has active runs is kept for
     /// another retention time.
     pub(super) fn remove_expired_jobs(&mut self, now: Now) {
--- a/crates/cluster/job-scheduler/src/scheduler/mod.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/mod.rs
@@ -195,6 +195,7 @@
             self.move_lagging_runs(now);
             self.fail_infeasible_jobs(now);
             self.remove_expired_jobs(now);
+            self.forget_expired_cancellations(now);
         }
     }
 }
