job-scheduler, control-plane: workers that are missing, replaced or expired are logged and counted

Change: log lines 'worker missing in list', 'worker replaced' and 'lease expired' with the worker and its number of runs, and three counters in the metrics. No decision is changed.

--- a/crates/cluster/control-plane/src/metrics_text.rs
+++ b/crates/cluster/control-plane/src/metrics_text.rs
@@ -50,6 +50,9 @@
         ("spanlead_longest_deadline_ms", call_timeouts.longest_ms),
         ("spanlead_start_held_back_checks", metrics.held_back_checks),
         ("spanlead_placement_attempts", metrics.placement_attempts),
+        ("spanlead_workers_missing_in_list", metrics.workers_missing_in_list),
+        ("spanlead_workers_replaced", metrics.replaced_workers),
+        ("spanlead_runs_expired", metrics.expired_runs),
     ];
     for (name, value) in lines {
         let _ = writeln!(text, "{name} {value}");
--- a/crates/cluster/job-scheduler/src/metrics.rs
+++ b/crates/cluster/job-scheduler/src/metrics.rs
@@ -64,6 +64,12 @@
     pub cancelled_submissions: u64,
     /// Cancellations of unknown jobs that were refused because too many are remembered.
     pub refused_cancellations: u64,
+    /// Workers that a list of the platform did not name although the one before did.
+    pub workers_missing_in_list: u64,
+    /// Workers at whose address another incarnation responded.
+    pub replaced_workers: u64,
+    /// Runs that ended because the leases of their worker had expired.
+    pub expired_runs: u64,
     /// The limit that the last such check found.
     pub held_back_by: Option<StartLimit>,
 }
--- a/crates/cluster/job-scheduler/src/scheduler/responses.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/responses.rs
@@ -20,7 +20,7 @@
             return;
         }
         match &response {
-            WorkerResponse::WrongIncarnation => return self.mark_worker_gone(now, worker),
+            WorkerResponse::WrongIncarnation => return self.handle_wrong_incarnation(now, worker),
             WorkerResponse::NoResponse => self.handle_no_response(now, worker, request),
             WorkerResponse::Acknowledged { clock_ms } => self.record_contact(now, worker, *clock_ms),
             WorkerResponse::Report(report) => self.record_contact(now, worker, report.clock_ms),
@@ -39,6 +39,14 @@
         }
     }
 
+    /// Handles a response that shows that another incarnation has replaced the worker.
+    fn handle_wrong_incarnation(&mut self, now: Now, index: WorkerIndex) {
+        let worker = &self.workers[index];
+        log::info!("worker replaced worker={} runs={}", worker.id(), worker.allocation.runs().len());
+        self.metrics.replaced_workers += 1;
+        self.mark_worker_gone(now, index);
+    }
+
     /// Handles a call without a response: times out a start, or counts another call as missed.
     fn handle_no_response(&mut self, now: Now, worker: WorkerIndex, request: &WorkerRequest) {
         if let WorkerRequest::Start { task, run, .. } = request {
--- a/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
+++ b/crates/cluster/job-scheduler/src/scheduler/worker_list.rs
@@ -28,6 +28,7 @@
         for index in self.workers.indices().filter(|index| !listed.contains(index)) {
             if !self.workers[index].is_gone() {
                 changed.push(index);
+                self.report_missing(index);
                 self.mark_worker_gone(now, index);
             }
         }
@@ -42,6 +43,13 @@
         }
     }
 
+    /// Reports in the log and the metrics that the list does not name a worker.
+    fn report_missing(&mut self, index: WorkerIndex) {
+        let worker = &self.workers[index];
+        log::info!("worker missing in list worker={} runs={}", worker.id(), worker.allocation.runs().len());
+        self.metrics.workers_missing_in_list += 1;
+    }
+
     /// Records the classes of which more workers are listed than ever before. `changed` are the
     /// workers whose class may be new.
     fn record_worker_classes(&mut self, now: Now, changed: &[WorkerIndex], listed: &BTreeSet<WorkerIndex>) {
@@ -104,7 +112,19 @@
             if worker.allocation.clear_orphans() {
                 self.capacity_freed(index);
             }
+            self.report_expired_runs(index);
             self.end_all_runs_on(now, index);
         }
     }
+
+    /// Reports in the log and the metrics that the runs on a worker end because its leases have
+    /// expired.
+    fn report_expired_runs(&mut self, index: WorkerIndex) {
+        let worker = &self.workers[index];
+        let runs = worker.allocation.runs().len();
+        if runs > 0 {
+            log::info!("lease expired worker={} runs={runs}", worker.id());
+            self.metrics.expired_runs += runs as u64;
+        }
+    }
 }
