replication: a new primary counts its own disk from its own first batch on

Cause: a former primary that was ahead of its successor kept the sequence number of its own earlier term as that of its disk. Elected again before its disk was done, it counted that disk for batches that were not on it, so that a batch could be committed on f machines only. Change: the tracker of a new primary begins with nothing of its own on disk, and the number of the earlier term is gone from the state.

--- a/crates/cluster/replication/src/primary/batches.rs
+++ b/crates/cluster/replication/src/primary/batches.rs
@@ -18,7 +18,7 @@
 pub(crate) struct BatchTracker {
     /// The last proposed batch.
     last: u64,
-    /// The last batch on the primary's own disk.
+    /// The last batch of this primary on its own disk; 0 if there is none yet.
     local_durable: u64,
     /// The last committed batch.
     committed: u64,
@@ -27,9 +27,10 @@
 }
 
 impl BatchTracker {
-    /// Creates the tracker of a primary that takes over after batch `last`.
-    pub(crate) fn new(last: u64, local_durable: u64) -> Self {
-        BatchTracker { last, local_durable, committed: 0, sent: VecDeque::new() }
+    /// Creates the tracker of a primary that takes over after batch `last`. What an earlier term
+    /// left on its disk does not count: batches of two terms may have the same sequence numbers.
+    pub(crate) fn new(last: u64) -> Self {
+        BatchTracker { last, local_durable: 0, committed: 0, sent: VecDeque::new() }
     }
 
     /// The sequence number of the last proposed batch.
@@ -37,7 +38,7 @@
         self.last
     }
 
-    /// The sequence number of the last batch on the primary's own disk.
+    /// The sequence number of this primary's last batch on its own disk; 0 if there is none yet.
     pub(crate) fn local_durable_sequence(&self) -> u64 {
         self.local_durable
     }
--- a/crates/cluster/replication/src/replica/dispatch.rs
+++ b/crates/cluster/replication/src/replica/dispatch.rs
@@ -88,7 +88,6 @@
                     self.handle_own_batch_written(term, sequence);
                 }
                 WriteCompletion::AcknowledgeBatch { primary, session, sequence } => {
-                    self.local_state.durable_sequence = sequence;
                     batch_ack = Some((primary, Message::BatchAck { session, sequence }));
                 }
                 WriteCompletion::AcknowledgeChunk { primary, session, index } => {
--- a/crates/cluster/replication/src/replica/local_state.rs
+++ b/crates/cluster/replication/src/replica/local_state.rs
@@ -17,8 +17,6 @@
     /// Whether the key space holds records that the embedder cannot read, so that this machine must
     /// not become primary before its replica is repaired.
     pub(super) ineligible: bool,
-    /// The sequence number of the last batch on this machine's disk.
-    pub(super) durable_sequence: u64,
 }
 
 impl LocalState {
@@ -29,7 +27,6 @@
             position: state.position,
             repair_incomplete: state.repair_incomplete,
             ineligible: false,
-            durable_sequence: state.position.sequence,
         }
     }
 
--- a/crates/cluster/replication/src/replica/primary.rs
+++ b/crates/cluster/replication/src/replica/primary.rs
@@ -60,8 +60,7 @@
     /// Takes over as primary after an election was won.
     pub(super) fn become_primary(&mut self, now_ms: u64, ballot: Ballot, view: View) {
         log::info!("primary elected term={} in_sync={}", view.term, view.in_sync.len());
-        let batches =
-            BatchTracker::new(self.local_state.position.sequence, self.local_state.durable_sequence);
+        let batches = BatchTracker::new(self.local_state.position.sequence);
         let local_id = self.local_member.id;
         let mut primary =
             PrimaryState::new(local_id, ballot, view.clone(), self.min_quorum(), batches, now_ms);
@@ -117,7 +116,6 @@
 
     /// Records that a batch that this machine proposed as primary of `term` is on its own disk.
     pub(super) fn handle_own_batch_written(&mut self, term: Term, sequence: u64) {
-        self.local_state.durable_sequence = sequence;
         if let Some(primary) = self.as_primary_mut()
             && primary.view().term == term
         {
