replication: a witness grants no lease while its record is on its way to disk

Cause: a witness that had accepted a view in memory granted the lease at the second heartbeat, while its record was still being written. After a loss of power it would not have known to whom, and could have helped another primary. Change: while a record of the witness is being written, heartbeats get no grant; the one for the first of them goes out when it is written. Result: lease_is_not_granted_before_the_view_is_on_disk (tests/write_order.rs) failed before.

--- a/crates/cluster/replication/src/replica/outbox.rs
+++ b/crates/cluster/replication/src/replica/outbox.rs
@@ -41,6 +41,7 @@
 #[derive(Clone, Debug)]
 struct PendingWrite {
     token: u64,
+    is_witness_record: bool,
     completion: WriteCompletion,
 }
 
@@ -66,10 +67,16 @@
     pub(super) fn write(&mut self, record: Record, completion: WriteCompletion) {
         self.last_token += 1;
         let token = self.last_token;
-        self.pending_writes.push_back(PendingWrite { token, completion });
+        let is_witness_record = matches!(record, Record::Witness(_));
+        self.pending_writes.push_back(PendingWrite { token, is_witness_record, completion });
         self.outputs.push(Output::Write { token, record });
     }
 
+    /// Whether a record of the witness is not on disk yet.
+    pub(super) fn has_pending_witness_record(&self) -> bool {
+        self.pending_writes.iter().any(|write| write.is_witness_record)
+    }
+
     /// Adds an output that reports an event to the embedder.
     pub(super) fn emit(&mut self, event: ReplicaEvent) {
         self.outputs.push(Output::Event(event));
--- a/crates/cluster/replication/src/replica/witness.rs
+++ b/crates/cluster/replication/src/replica/witness.rs
@@ -51,7 +51,7 @@
 
     /// Answers a heartbeat with the lease grant. A witness that has not accepted the heartbeat's
     /// view accepts it first, and sends the grant once the view is on disk: after a restart it must
-    /// know to which primary it may have granted a lease.
+    /// know to which primary it may have granted a lease. Until then further heartbeats get none.
     pub(super) fn send_lease_grant(&mut self, now_ms: u64, primary: &Member, heartbeat: &Heartbeat) {
         let (ballot, view) = (heartbeat.ballot, &heartbeat.view);
         let message = Message::LeaseGrant(LeaseGrant {
@@ -61,7 +61,9 @@
             ineligible: self.local_state.ineligible,
         });
         if self.witness.has_accepted(ballot, view) {
-            self.send_to(primary, message);
+            if !self.outbox.has_pending_witness_record() {
+                self.send_to(primary, message);
+            }
         } else if self.witness.accept(ballot, view) == Vote::Granted {
             self.write_witness_record(WriteCompletion::Send(Destination::from(primary), message));
         }
--- a/crates/cluster/replication/tests/write_order.rs
+++ b/crates/cluster/replication/tests/write_order.rs
@@ -116,6 +116,10 @@
         self.receive(PRIMARY, Message::Heartbeat(heartbeat));
     }
 
+    fn lease_grants(&self) -> usize {
+        self.sent.iter().filter(|message| matches!(message, Message::LeaseGrant(_))).count()
+    }
+
     fn requested_session(&self) -> u64 {
         let session = |message: &Message| match message {
             Message::SessionRequest { session, .. } => Some(*session),
@@ -147,6 +151,21 @@
     }
 }
 
+/// Guards against a witness that grants a lease before the primary's view is on its disk: after a
+/// loss of power it would not know to which primary.
+#[test]
+fn lease_is_not_granted_before_the_view_is_on_disk() {
+    let mut machine = LocalMachine::start();
+    machine.receive_heartbeat(view(3));
+    machine.receive_heartbeat(view(3));
+    assert_eq!(machine.lease_grants(), 0, "the view is not on disk yet");
+
+    machine.confirm_writes();
+    assert_eq!(machine.lease_grants(), 1, "expected the grant for the first heartbeat");
+    machine.receive_heartbeat(view(3));
+    assert_eq!(machine.lease_grants(), 2, "the view is on disk");
+}
+
 /// Guards against a former primary that was ahead of its successor and counts the batches of its own
 /// earlier term as those of the present one.
 #[test]
