control-plane: a status that says nothing about a call is no rejection

Callers saw nothing: found by looking for the cause of the incident elsewhere. Cause: any status but 200 counted as 'not carried out', also 500, 502 or 504 of something in between, so a start that may have been carried out could start elsewhere at once. Change: 4xx and 503 are rejections; any other status is no response, so that a start is stopped and looked for first.

--- a/crates/cluster/control-plane/src/worker_client/mod.rs
+++ b/crates/cluster/control-plane/src/worker_client/mod.rs
@@ -18,6 +18,9 @@
 /// The status of a request that reached another incarnation of the worker.
 const MISDIRECTED_STATUS: u16 = 421;
 const UNAVAILABLE_STATUS: u16 = 503;
+/// The statuses of requests that were not carried out because of what they ask.
+const CLIENT_ERROR_MIN_STATUS: u16 = 400;
+const CLIENT_ERROR_MAX_STATUS: u16 = 499;
 
 /// The progress of a call.
 #[derive(Clone, Copy, Debug)]
@@ -136,6 +139,10 @@
     match (status, &call.request) {
         (OK_STATUS, WorkerRequest::RenewLease { .. }) => WorkerResponse::Report(body.into_report()),
         (OK_STATUS, _) => WorkerResponse::Acknowledged { clock_ms: body.clock_ms },
-        _ => WorkerResponse::Rejected { status, reason: body.reason },
+        (CLIENT_ERROR_MIN_STATUS..=CLIENT_ERROR_MAX_STATUS | UNAVAILABLE_STATUS, _) => {
+            WorkerResponse::Rejected { status, reason: body.reason }
+        }
+        // Any other status does not exclude that the worker has carried the call out.
+        _ => WorkerResponse::NoResponse,
     }
 }
