cluster-testbed, runtime: the soak has bad links, more faults of control planes and workers, and the form of a large deployment

Cause: the incident was seen with real processes at a size and under faults that the soak did not have, and the list of its workers was one page. Links between control planes, and from data planes to them, lead through forwarders that cut them, cut one direction or delay them; for that, listenAddrs.peer lets a process listen elsewhere than it is called. A fault that lasts counts as a disturbance for as long.

--- a/crates/cluster/control-plane/src/lib.rs
+++ b/crates/cluster/control-plane/src/lib.rs
@@ -113,7 +113,7 @@
     let handler = move |frame, replies: &Sender<Frame>| {
         peer_inputs.send(Input::Frame(frame, Some(replies.clone())));
     };
-    task::spawn(peer_server::serve(settings.peer_address(), Arc::new(handler)));
+    task::spawn(peer_server::serve(settings.peer_listen_address(), Arc::new(handler)));
     if let Some(endpoint) = settings.metrics_endpoint() {
         let inputs = inputs.clone();
         metrics::spawn_server(endpoint, move || operator_api::metrics(inputs.clone()));
--- a/crates/cluster/data-plane/src/control_plane_client.rs
+++ b/crates/cluster/data-plane/src/control_plane_client.rs
@@ -177,7 +177,7 @@
                 receiver.handle_gossip(&from, message);
             }
         };
-        task::spawn(peer_server::serve(settings.peer_address(), Arc::new(handler)));
+        task::spawn(peer_server::serve(settings.peer_listen_address(), Arc::new(handler)));
         task::spawn(handle_link_events(client.clone(), link_events));
         client
     }
--- a/crates/cluster/runtime/src/settings.rs
+++ b/crates/cluster/runtime/src/settings.rs
@@ -59,6 +59,9 @@
     /// Address of the API for operators.
     #[serde(rename = "control")]
     pub operators: Option<String>,
+    /// Address for other processes of the system, if it is not the one at which they reach this
+    /// process, as behind a port forwarding.
+    pub peer: Option<String>,
 }
 
 /// Resource limits of a process.
@@ -216,6 +219,12 @@
         self.peer_address_of(&self.ip)
     }
 
+    /// Returns the address on which this process listens for other processes of the system.
+    #[must_use]
+    pub fn peer_listen_address(&self) -> String {
+        self.listen.peer.clone().unwrap_or_else(|| self.peer_address())
+    }
+
     /// Returns the peer addresses of the seeds.
     #[must_use]
     pub fn seed_peer_addresses(&self) -> Vec<String> {
--- a/crates/tools/cluster-testbed/src/clients.rs
+++ b/crates/tools/cluster-testbed/src/clients.rs
@@ -1,4 +1,5 @@
 //! Clients: each submits one job, and polls it until it is closed.
+use crate::deployment_form::random_small_job;
 use crate::http_client::{HttpRequest, HttpResponse, call};
 use crate::platform::Platform;
 use async_std::task;
@@ -6,7 +7,6 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
 use spanlead_job_scheduler::{JobId, JobSpec};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -23,8 +23,6 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Between two requests for a job's state.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// The share of stages that are gangs.
-const GANG_SHARE: f64 = 0.1;
 
 const OK: u16 = 200;
 const GONE: u16 = 410;
@@ -79,26 +77,6 @@
     pub until: Instant,
 }
 
-/// A random job of one to three stages, each after the one before.
-#[must_use]
-pub fn random_job(rng: &mut ChaCha8Rng) -> Value {
-    let count = rng.random_range(1..4);
-    let stages: Vec<Value> = (0..count).map(|number| random_stage(number, rng)).collect();
-    json!({ "spec": "trial", "stages": stages })
-}
-
-fn random_stage(number: u32, rng: &mut ChaCha8Rng) -> Value {
-    let is_gang = rng.random_bool(GANG_SHARE);
-    json!({
-        "count": rng.random_range(1..5),
-        "cpu": rng.random_range(200..2_000),
-        "memMb": rng.random_range(100..3_000),
-        "estRuntimeMs": rng.random_range(50..900),
-        "dependsOn": if number > 0 { vec![number - 1] } else { Vec::new() },
-        "gang": is_gang,
-    })
-}
-
 /// One job, from its client's view.
 struct Client {
     context: ClientContext,
@@ -111,7 +89,7 @@
 pub async fn run_client(context: ClientContext, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let job = JobId(rng.random());
-    let body = random_job(&mut rng).to_string();
+    let body = random_small_job(&mut rng).to_string();
     if let Ok(spec) = JobSpec::from_json(body.as_bytes()) {
         context.platform.fleet().checker.record_submission(job, &spec);
     }
--- a/crates/tools/cluster-testbed/src/process_control.rs
+++ b/crates/tools/cluster-testbed/src/process_control.rs
@@ -1,13 +1,18 @@
 //! Starts, signals and ends the real programs, as processes on loopback addresses.
+use crate::deployment_form::Bounds;
+use crate::links::{Forwarder, LinkFaults, ProcessIds};
 use crate::platform::WORKER_LIST_IP;
-use crate::simulated_worker::MAX_LEASE_MS;
 use quick_error::quick_error;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::fs::File;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
+/// The difference between the third octets of a machine's address and of the one where its process
+/// listens behind a forwarder.
+const FORWARDED_NETWORK_OFFSET: usize = 4;
 /// The most seeds in a machine's settings.
 const MAX_SEEDS: usize = 3;
 
@@ -97,6 +102,8 @@
     pub node: String,
     /// Its address.
     pub ip: String,
+    /// Where its process listens behind a forwarder.
+    process_ip: String,
     /// What it runs.
     pub role: Role,
     folder: PathBuf,
@@ -125,6 +132,10 @@
     pub control: usize,
     /// Machines of the data plane.
     pub data: usize,
+    /// The platform's bounds.
+    pub bounds: Bounds,
+    /// Whether the machines of the control plane are reached through forwarders.
+    pub has_forwarders: bool,
     /// The programs' option `--log`.
     pub log: String,
 }
@@ -136,6 +147,10 @@
     pub machines: Vec<Machine>,
     ports: Ports,
     programs: PathBuf,
+    bounds: Bounds,
+    has_forwarders: bool,
+    /// The processes of the control plane.
+    process_ids: ProcessIds,
     log: String,
 }
 
@@ -149,7 +164,29 @@
         let data = (1..=layout.data).map(|number| (Role::Data, number));
         let machines = control.chain(data).map(|(role, number)| new_machine(&layout, role, number));
         let machines = machines.collect::<Result<_, _>>()?;
-        Ok(Machines { machines, ports: layout.ports, programs: layout.programs, log: layout.log })
+        let Layout { ports, programs, bounds, has_forwarders, log, .. } = layout;
+        let process_ids = ProcessIds::default();
+        Ok(Machines { machines, ports, programs, bounds, has_forwarders, process_ids, log })
+    }
+
+    /// The forwarders of the control plane's machines, which subject their links to `faults`; none
+    /// if the machines are reached without.
+    #[must_use]
+    pub fn forwarders(&self, faults: &LinkFaults) -> Vec<Forwarder> {
+        let control = self.with_role(Role::Control).into_iter().filter(|_| self.has_forwarders);
+        control.filter_map(|machine| self.forwarder(machine, faults)).collect()
+    }
+
+    fn forwarder(&self, machine: usize, faults: &LinkFaults) -> Option<Forwarder> {
+        let Machine { ip, process_ip, .. } = &self.machines[machine];
+        let address = |ip: &str| format!("{ip}:{}", self.ports.peer()).parse::<SocketAddr>().ok();
+        Some(Forwarder {
+            machine,
+            address: address(ip)?,
+            process_address: address(process_ip)?,
+            process_ids: self.process_ids.clone(),
+            faults: faults.clone(),
+        })
     }
 
     /// The ports.
@@ -177,6 +214,9 @@
             .stderr(log.map_err(io_error)?)
             .spawn()
             .map_err(io_error)?;
+        if machine.role == Role::Control {
+            self.process_ids.set(machine_index, child.id());
+        }
         machine.child = Some(child);
         Ok(())
     }
@@ -188,6 +228,10 @@
         let address = |port: u16| format!("{}:{port}", machine.ip);
         let ports = self.ports;
         let listen = match machine.role {
+            Role::Control if self.has_forwarders => {
+                let peer = format!("{}:{}", machine.process_ip, ports.peer());
+                json!({ "control": address(ports.control()), "peer": peer })
+            }
             Role::Control => json!({ "control": address(ports.control()) }),
             Role::Data => {
                 json!({ "front": address(ports.front()), "readiness": address(ports.readiness()) })
@@ -204,7 +248,7 @@
             "countsForQuorum": machine.role == Role::Control,
             "dataDir": machine.folder.join("data"),
             "faultTolerance": { "machines": (controls.len() - 1) / 2 },
-            "bounds": { "graceS": 6, "maxHoldMs": MAX_LEASE_MS, "far_x": 2.0 },
+            "bounds": self.bounds.to_settings(),
             "cloudApi": { "address": format!("{WORKER_LIST_IP}:{}", ports.list()), "ratePerS": 30.0 },
         })
         .to_string()
@@ -300,5 +344,7 @@
     let node = format!("{name}-{number}");
     let folder = layout.folder.join(&node);
     std::fs::create_dir_all(folder.join("data")).map_err(|e| TrialError::Io(node.clone(), e))?;
-    Ok(Machine { node, ip: format!("127.71.{network}.{number}"), role, folder, child: None })
+    let ip = format!("127.71.{network}.{number}");
+    let process_ip = format!("127.71.{}.{number}", network + FORWARDED_NETWORK_OFFSET);
+    Ok(Machine { node, ip, process_ip, role, folder, child: None })
 }
--- a/crates/tools/cluster-testbed/src/safety_checker.rs
+++ b/crates/tools/cluster-testbed/src/safety_checker.rs
@@ -9,9 +9,9 @@
 const HEDGED_START_SLACK_MS: u64 = 1_000;
 /// Failed runs after which a task may not start again: that of the testbed's queue.
 const MAX_ATTEMPTS: u32 = 3;
-/// How long after the acknowledgement of its cancellation a known job may still start a task,
-/// milliseconds (`cancel_ms`): an order may have been under way. Nothing of an unknown job was.
-const CANCELLATION_SLACK_MS: u64 = 3_000;
+/// How long after the acknowledgement of its cancellation a known job may still start a task
+/// unless a deployment sets another bound, milliseconds (`cancel_ms`).
+const DEFAULT_CANCELLATION_TIMEOUT_MS: u64 = 3_000;
 
 /// A successful end that the worker still has to report.
 #[derive(Clone, Debug)]
@@ -52,6 +52,20 @@
     }
 }
 
+/// The bounds of the deployment that is judged.
+#[derive(Clone, Copy, Debug)]
+struct CheckerBounds {
+    /// How long after the acknowledgement of its cancellation a known job may still start a task,
+    /// milliseconds: an order may have been under way. Nothing of an unknown job was.
+    cancellation_timeout_ms: u64,
+}
+
+impl Default for CheckerBounds {
+    fn default() -> Self {
+        CheckerBounds { cancellation_timeout_ms: DEFAULT_CANCELLATION_TIMEOUT_MS }
+    }
+}
+
 /// Records what happens in a simulation, and keeps the violations that it finds.
 ///
 /// Times are in milliseconds of the simulation's clock.
@@ -63,6 +77,7 @@
     pub starts: u64,
     /// Failed runs after which a task may not start again. 0 until a job was submitted.
     pub max_attempts: u32,
+    bounds: CheckerBounds,
     specs: BTreeMap<JobId, JobSpec>,
     running: BTreeMap<TaskId, BTreeSet<RunOnWorker>>,
     /// Tasks that have succeeded on any worker.
@@ -79,6 +94,12 @@
 }
 
 impl SafetyChecker {
+    /// Sets how long after the acknowledgement of its cancellation a known job may still start a
+    /// task, milliseconds.
+    pub fn set_cancellation_timeout_ms(&mut self, timeout_ms: u64) {
+        self.bounds.cancellation_timeout_ms = timeout_ms;
+    }
+
     /// Records that a client submits a job.
     pub fn record_submission(&mut self, job: JobId, spec: &JobSpec) {
         self.specs.insert(job, spec.clone());
@@ -140,7 +161,7 @@
         let Some(cancellation) = self.cancellations.get(&task.job) else { return };
         let AcknowledgedCancellation { acknowledged_at_ms, was_known } = *cancellation;
         let elapsed_ms = now_ms.saturating_sub(acknowledged_at_ms);
-        if was_known && elapsed_ms <= CANCELLATION_SLACK_MS {
+        if was_known && elapsed_ms <= self.bounds.cancellation_timeout_ms {
             return;
         }
         let job = if was_known { "known job" } else { "unknown job" };
--- a/crates/tools/cluster-testbed/src/simulated_worker.rs
+++ b/crates/tools/cluster-testbed/src/simulated_worker.rs
@@ -28,6 +28,21 @@
 /// The highest progress of a run that goes on, percent.
 const MAX_PROGRESS_PERCENT: u64 = 99;
 
+/// The time limits of a worker that differ between deployments, milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerLimits {
+    /// How long a gang's members wait for one another.
+    pub gang_assembly_timeout_ms: u64,
+    /// How long a stop takes at most.
+    pub stop_timeout_ms: u64,
+}
+
+impl Default for WorkerLimits {
+    fn default() -> Self {
+        WorkerLimits { gang_assembly_timeout_ms: GANG_ASSEMBLY_TIMEOUT_MS, stop_timeout_ms: STOP_TIMEOUT_MS }
+    }
+}
+
 /// Processor and memory: what a worker has, or a task needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WorkerCapacity {
@@ -65,6 +80,12 @@
     clock_rate: f64,
     /// Until when it is cut off from the network.
     pub partitioned_until_ms: u64,
+    /// Until when its responses are lost although calls reach it.
+    pub mute_until_ms: u64,
+    /// Until when it stands still. Calls that arrive meanwhile are carried out afterwards.
+    pub frozen_until_ms: u64,
+    /// Its time limits.
+    pub limits: WorkerLimits,
     /// The share of runs that fail here, 0 to 1.
     pub failure_share: f64,
     fencing_token: u64,
@@ -97,6 +118,9 @@
             started_at_ms: now_ms,
             clock_rate: rng.random_range(0.98..1.0),
             partitioned_until_ms: 0,
+            mute_until_ms: 0,
+            frozen_until_ms: 0,
+            limits: WorkerLimits::default(),
             failure_share: FAILURE_SHARE,
             fencing_token: 0,
             lease_expires_at_ms: 0,
@@ -139,7 +163,21 @@
             && demand.memory_mb <= CAPACITY.memory_mb.saturating_sub(used_memory)
     }
 
-    /// Ends the runs that are over at a time, all of them if the lease has expired.
+    /// Whether it stands still.
+    #[must_use]
+    pub fn is_frozen(&self, now_ms: u64) -> bool {
+        now_ms < self.frozen_until_ms
+    }
+
+    /// Whether its responses do not arrive.
+    #[must_use]
+    pub fn loses_responses(&self, now_ms: u64) -> bool {
+        now_ms < self.partitioned_until_ms.max(self.mute_until_ms)
+    }
+
+    /// Ends the runs that are over at a time, all of them if the lease has expired. On a worker
+    /// that stands still nothing works, and runs end by the lease alone: it looks at the lease
+    /// before anything else when it goes on.
     pub fn advance(&mut self, now_ms: u64, rng: &mut ChaCha8Rng, checker: &mut SafetyChecker) {
         if self.clock_ms(now_ms) > self.lease_expires_at_ms {
             // Also if nothing runs: the scheduler may repeat the ends that were not acknowledged.
@@ -148,6 +186,9 @@
                 self.end_run(now_ms, run.id, RunOutcome::LeaseExpired, checker);
             }
         }
+        if self.is_frozen(now_ms) {
+            return;
+        }
         for run in self.running.clone() {
             if let Some(outcome) = self.outcome_of(&run, now_ms, rng) {
                 self.end_run(now_ms, run.id, outcome, checker);
@@ -164,7 +205,7 @@
             Some(if is_failure { RunOutcome::Failed } else { RunOutcome::Done })
         } else if run.is_gang
             && run.gang_complete_since_ms.is_none()
-            && now_ms > run.started_at_ms + GANG_ASSEMBLY_TIMEOUT_MS
+            && now_ms > run.started_at_ms + self.limits.gang_assembly_timeout_ms
         {
             Some(RunOutcome::GangIncomplete)
         } else {
@@ -279,8 +320,9 @@
     /// Stops a run; one that has not started must not start any more.
     fn stop_run(&mut self, now_ms: u64, run: RunId) {
         self.forbid_runs_up_to(run);
+        let stops_at_ms = now_ms + self.limits.stop_timeout_ms / 2;
         if let Some(running) = self.running.iter_mut().find(|running| running.id == run) {
-            running.stops_at_ms.get_or_insert(now_ms + STOP_TIMEOUT_MS / 2);
+            running.stops_at_ms.get_or_insert(stops_at_ms);
         }
     }
 
--- a/crates/tools/cluster-testbed/src/soak/cancelling_client.rs
+++ b/crates/tools/cluster-testbed/src/soak/cancelling_client.rs
@@ -2,7 +2,7 @@
 //! acknowledged, nothing of the job may start, whenever the submission arrives.
 use super::SoakContext;
 use super::kept_client::{job_path, request};
-use crate::clients::{lock, random_job};
+use crate::clients::lock;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -64,7 +64,7 @@
     }
 
     fn draw_job(&mut self, job: JobId) -> String {
-        let body = random_job(&mut self.rng).to_string();
+        let body = self.context.form.random_job(&mut self.rng).to_string();
         if let Ok(spec) = JobSpec::from_json(body.as_bytes()) {
             self.context.platform.fleet().checker.record_submission(job, &spec);
         }
--- a/crates/tools/cluster-testbed/src/soak/driver.rs
+++ b/crates/tools/cluster-testbed/src/soak/driver.rs
@@ -1,6 +1,7 @@
 //! Carries out the plan: signals, ends and starts of processes, which overlap.
+use super::action::{Action, ControlGroup, PlannedAction};
 use super::disturbances::Disturbances;
-use super::plan::{Action, PlannedAction};
+use crate::links::{LinkFault, LinkFaultKind, LinkFaults};
 use crate::platform::Platform;
 use crate::process_control::{Machines, Role, TrialError};
 use async_std::task;
@@ -13,6 +14,11 @@
 /// The time from the start of a process until it is sent SIGHUP: no program can handle a signal
 /// before its `main` has begun.
 const MIN_AGE_FOR_RELOAD: Duration = Duration::from_millis(30);
+/// When all machines start again after a loss of power, each starts so much later than the one
+/// before, milliseconds.
+const START_STEP_MS: u64 = 37;
+/// The longest time between the starts of the first and the last of them, milliseconds.
+const MAX_START_SPREAD_MS: u64 = 300;
 /// How long a process may take to end after SIGTERM (`graceS`).
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -32,6 +38,7 @@
 pub(super) struct Driver {
     machines: Machines,
     platform: Platform,
+    link_faults: LinkFaults,
     disturbances: Disturbances,
     transitions: BTreeMap<usize, Transition>,
     /// When processes were last started again, by machine.
@@ -43,10 +50,16 @@
 }
 
 impl Driver {
-    pub(super) fn new(machines: Machines, platform: Platform, disturbances: Disturbances) -> Self {
+    pub(super) fn new(
+        machines: Machines,
+        platform: Platform,
+        link_faults: LinkFaults,
+        disturbances: Disturbances,
+    ) -> Self {
         Driver {
             machines,
             platform,
+            link_faults,
             disturbances,
             transitions: BTreeMap::new(),
             restarted_at: BTreeMap::new(),
@@ -93,11 +106,37 @@
                 self.begin(machine, action, |driver| driver.freeze(machine, outage_ms));
             }
             Action::KillControlPlane { outage_ms } => self.kill_control_plane(outage_ms),
+            Action::LoseDisks { group, outage_ms, others_lose_power } => {
+                self.lose_disks(group, outage_ms, others_lose_power);
+            }
+            Action::DisturbLinks { group, concerns_data_planes, kind, for_ms } => {
+                self.disturb_links(group, concerns_data_planes, kind, for_ms);
+            }
+            _ => self.act_on_workers(action),
+        }
+    }
+
+    fn act_on_workers(&mut self, action: Action) {
+        self.actions += 1;
+        let until = |for_ms: u64| Instant::now() + Duration::from_millis(for_ms);
+        match action {
             Action::CrashWorker { worker } => {
-                self.actions += 1;
                 self.disturbances.record_unplanned(None);
                 self.platform.crash_worker(worker);
             }
+            Action::FreezeWorker { worker, for_ms } => {
+                self.disturbances.record_unplanned_until(None, until(for_ms));
+                self.platform.freeze_worker(worker, for_ms);
+            }
+            Action::CutWorker { worker, cut, for_ms } => {
+                self.disturbances.record_unplanned_until(None, until(for_ms));
+                self.platform.cut_worker(worker, for_ms, cut);
+            }
+            Action::DelayOrders { share } => {
+                self.disturbances.record_unplanned(None);
+                self.platform.fleet().late_share = share;
+            }
+            _ => {}
         }
     }
 
@@ -145,8 +184,46 @@
     }
 
     fn freeze(&mut self, machine: usize, outage_ms: u64) -> Transition {
+        let until = Instant::now() + Duration::from_millis(outage_ms);
+        self.disturbances.record_unplanned_until(Some(machine), until);
         self.machines.signal(machine, Signal::STOP);
-        Transition::Frozen { until: Instant::now() + Duration::from_millis(outage_ms) }
+        Transition::Frozen { until }
+    }
+
+    /// Empties the disks of some machines. All other machines lose power at that moment, or go on.
+    fn lose_disks(&mut self, group: ControlGroup, outage_ms: u64, others_lose_power: bool) {
+        self.actions += 1;
+        let lost = group.first..group.first + group.count;
+        let is_down = |machine: &usize| others_lose_power || lost.contains(machine);
+        let down: Vec<usize> = (0..self.machines.machines.len()).filter(is_down).collect();
+        for machine in &down {
+            self.record(*machine, false);
+            self.machines.signal(*machine, Signal::KILL);
+        }
+        for (position, machine) in down.into_iter().enumerate() {
+            let spread_ms = position as u64 * START_STEP_MS % MAX_START_SPREAD_MS;
+            let transition = self.kill(machine, outage_ms + spread_ms);
+            if lost.contains(&machine) {
+                self.machines.wipe(machine);
+            }
+            self.transitions.insert(machine, transition);
+        }
+    }
+
+    fn disturb_links(
+        &mut self,
+        group: ControlGroup,
+        concerns_data_planes: bool,
+        kind: LinkFaultKind,
+        for_ms: u64,
+    ) {
+        self.actions += 1;
+        let until = Instant::now() + Duration::from_millis(for_ms);
+        let group = group.first..group.first + group.count;
+        for machine in group.clone() {
+            self.disturbances.record_unplanned_until(Some(machine), until);
+        }
+        self.link_faults.add(LinkFault { group, concerns_data_planes, kind, until });
     }
 
     /// Kills all processes of the control plane, also those that are about to end.
--- a/crates/tools/cluster-testbed/src/soak/kept_client.rs
+++ b/crates/tools/cluster-testbed/src/soak/kept_client.rs
@@ -1,6 +1,6 @@
 //! Clients that keep their connection, and go on using it until its process is gone.
 use super::SoakContext;
-use crate::clients::{HOST, PATH_PREFIX, lock, random_job};
+use crate::clients::{HOST, PATH_PREFIX, lock};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -112,7 +112,7 @@
 
     fn draw_job(&mut self) {
         let id = JobId(self.rng.random());
-        let body = random_job(&mut self.rng).to_string();
+        let body = self.context.form.random_job(&mut self.rng).to_string();
         if let Ok(spec) = JobSpec::from_json(body.as_bytes()) {
             self.context.platform.fleet().checker.record_submission(id, &spec);
         }
--- a/crates/tools/cluster-testbed/src/soak/mod.rs
+++ b/crates/tools/cluster-testbed/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Judged are the jobs (by the checker that a trial has too), requests that are cut during planned
 //! work, changes of the configuration, and processes that end by themselves or not in time.
+mod action;
 mod cancelling_client;
 mod disturbances;
 mod driver;
@@ -14,7 +15,9 @@
 pub use options::SoakOptions;
 
 use crate::clients::{JobTally, SharedTally, lock};
-use crate::platform::Platform;
+use crate::deployment_form::DeploymentForm;
+use crate::links::LinkFaults;
+use crate::platform::{ListOptions, Platform};
 use crate::process_control::{Layout, Machines, Ports, TrialError, program_folder};
 use crate::report::quantile;
 use async_std::task;
@@ -43,6 +46,7 @@
 #[derive(Clone, Debug)]
 struct SoakContext {
     platform: Platform,
+    form: DeploymentForm,
     /// The addresses of the data plane for clients, `IP:port`.
     fronts: Arc<Vec<String>>,
     /// The addresses of the control plane for operators, `IP:port`.
@@ -88,28 +92,36 @@
 pub fn run(options: &SoakOptions) -> Result<bool, TrialError> {
     let temporary = tempfile::tempdir().map_err(|e| TrialError::Io("temporary folder".to_owned(), e))?;
     let folder = options.folder.clone().unwrap_or_else(|| temporary.path().to_owned());
+    let programs = match &options.programs {
+        Some(programs) => programs.clone(),
+        None => program_folder()?,
+    };
     let machines = Machines::new(Layout {
         folder,
-        programs: program_folder()?,
+        programs,
         ports: Ports { first: options.port },
         control: options.control,
         data: options.data,
+        bounds: options.form.bounds(),
+        has_forwarders: !options.without_links,
         log: options.log.clone(),
     })?;
     task::block_on(run_system(options, machines))
 }
 
 async fn run_system(options: &SoakOptions, mut machines: Machines) -> Result<bool, TrialError> {
-    let platform = Platform::start(options.workers, options.seed, machines.ports());
+    let platform = start_platform(options, &machines);
+    let link_faults = start_forwarders(&machines);
     for index in 0..options.control + options.data {
         machines.start(index, true)?;
     }
     let mut context = SoakContext {
         platform: platform.clone(),
+        form: options.form,
         fronts: Arc::new(machines.front_addresses()),
         controls: Arc::new(machines.control_addresses()),
         tally: SharedTally::default(),
-        disturbances: Disturbances::default(),
+        disturbances: Disturbances::new(options.form.bounds().contact_timeout),
         cuts: Arc::default(),
         load_ends_at: Instant::now(),
         jobs_end_by: Instant::now() + START_TIMEOUT,
@@ -122,11 +134,35 @@
     context.load_ends_at = Instant::now() + Duration::from_secs(options.seconds);
     context.jobs_end_by = context.load_ends_at + FINISH_TIMEOUT;
     operator.set_context(context.clone());
-    let mut driver = Driver::new(machines, platform, context.disturbances.clone());
+    let mut driver = Driver::new(machines, platform, link_faults, context.disturbances.clone());
     let counts = run_load(options, &context, operator, &mut driver).await?;
     Ok(print_result(options, &context, &mut driver, counts))
 }
 
+/// Starts the simulated workers and their list.
+fn start_platform(options: &SoakOptions, machines: &Machines) -> Platform {
+    let bounds = options.form.bounds();
+    let list_options =
+        ListOptions { page_size: options.page_size.max(1), max_page_delay_ms: options.page_delay };
+    let platform = Platform::start(options.workers, options.seed, machines.ports(), list_options);
+    platform.set_worker_limits(bounds.worker);
+    platform.fleet().checker.set_cancellation_timeout_ms(bounds.cancellation_timeout_ms);
+    platform
+}
+
+/// Starts the forwarders of the control plane, and returns the faults that they heed.
+fn start_forwarders(machines: &Machines) -> LinkFaults {
+    let faults = LinkFaults::default();
+    for forwarder in machines.forwarders(&faults) {
+        task::spawn(async move {
+            if let Err(error) = forwarder.serve().await {
+                println!("forwarder failed: {error}");
+            }
+        });
+    }
+    faults
+}
+
 /// The number of clients that cancel their jobs.
 fn cancelling_count(options: &SoakOptions) -> usize {
     options.clients.div_ceil(CLIENTS_PER_CANCELLING_CLIENT)
--- a/crates/tools/cluster-testbed/src/soak/operator.rs
+++ b/crates/tools/cluster-testbed/src/soak/operator.rs
@@ -21,9 +21,6 @@
 const RACE_SHARE: f64 = 0.3;
 /// Between two attempts to send a change.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
-/// The time after its acknowledgement from which on a change is in force everywhere
-/// (`configApplyMs`).
-const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 const OK: u16 = 200;
 const NOT_FOUND: u16 = 404;
@@ -99,7 +96,7 @@
                 let gap_ms = self.rng.random_range(CHANGE_GAP_MS);
                 task::sleep(Duration::from_millis(gap_ms)).await;
             }
-            task::sleep(APPLY_TIMEOUT).await;
+            task::sleep(self.context.form.bounds().apply_timeout).await;
             self.check_routes().await;
         }
         self.check_routes_until_calm().await;
--- a/crates/tools/cluster-testbed/src/soak/options.rs
+++ b/crates/tools/cluster-testbed/src/soak/options.rs
@@ -1,4 +1,5 @@
 //! The options of a soak. Their comments are the texts of `spanlead-cluster soak --help`.
+use crate::deployment_form::DeploymentForm;
 use clap::Args;
 use std::path::PathBuf;
 
@@ -20,6 +21,22 @@
     /// Workers.
     #[arg(long, default_value_t = 12)]
     pub workers: usize,
+    /// The bounds of the platform and the jobs of the clients.
+    #[arg(long, value_enum, default_value_t)]
+    pub form: DeploymentForm,
+    /// Workers on a page of their list.
+    #[arg(long, default_value_t = 50)]
+    pub page_size: usize,
+    /// Milliseconds that a page of the list takes at most.
+    #[arg(long, default_value_t = 20)]
+    pub page_delay: u64,
+    /// Leaves out the forwarders, and with them the faults of links: for programs that can't listen
+    /// behind one.
+    #[arg(long)]
+    pub without_links: bool,
+    /// The folder with the programs, if it is not that of this one.
+    #[arg(long)]
+    pub programs: Option<PathBuf>,
     /// Determines what is drawn.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
--- a/crates/tools/cluster-testbed/src/trial.rs
+++ b/crates/tools/cluster-testbed/src/trial.rs
@@ -1,9 +1,10 @@
 //! A trial: the whole system on loopback addresses, with simulated workers, clients and faults.
 use crate::clients::{self, ClientContext, SharedTally, lock};
 use crate::configuration::configuration;
+use crate::deployment_form::DeploymentForm;
 use crate::fault_plan::{FaultCount, count_fault, inject_fault, plan_faults};
 use crate::http_client::{HttpRequest, call_control_plane};
-use crate::platform::Platform;
+use crate::platform::{ListOptions, Platform};
 use crate::process_control::{Layout, Machines, Ports, TrialError, program_folder};
 use crate::report;
 use crate::trial_options::TrialOptions;
@@ -38,6 +39,8 @@
         ports: Ports { first: options.port },
         control: options.control,
         data: options.data,
+        bounds: DeploymentForm::Small.bounds(),
+        has_forwarders: false,
         log: options.log.clone(),
     };
     let mut machines = Machines::new(layout)?;
@@ -45,7 +48,7 @@
 }
 
 async fn run_system(options: &TrialOptions, machines: &mut Machines) -> Result<bool, TrialError> {
-    let platform = Platform::start(options.workers, options.seed, machines.ports());
+    let platform = Platform::start(options.workers, options.seed, machines.ports(), ListOptions::default());
     platform.fleet().late_share = options.late;
     for index in 0..machines.machines.len() {
         machines.start(index, true)?;
--- a/crates/tools/cluster-testbed/src/worker_server.rs
+++ b/crates/tools/cluster-testbed/src/worker_server.rs
@@ -1,6 +1,7 @@
 //! The worker protocol over HTTP, as the simulated workers serve it.
 use crate::http_response::json_response;
 use crate::platform::{Fleet, Platform, STEP_INTERVAL};
+use crate::simulated_worker::SimulatedWorker;
 use async_std::task;
 use compact_str::CompactString;
 use rand::Rng;
@@ -66,8 +67,12 @@
 }
 
 impl WorkerServer {
-    /// Delivers a call to the worker; `None` if its response is lost, and it is carried out late.
+    /// Delivers a call to the worker; `None` if its response is lost. Such a call is not carried
+    /// out, or late, or at once.
     async fn deliver(&self, call: WorkerCall) -> Option<WorkerResponse> {
+        if self.is_partitioned() {
+            return None;
+        }
         if let Some(delay) = self.late_call_delay() {
             let server = self.clone();
             task::spawn(async move {
@@ -76,9 +81,28 @@
             });
             return None;
         }
-        match self.carry_out(&call) {
-            Some(response) => Some(response),
-            None => Some(self.wait_for_end(&call).await),
+        self.wait_while_frozen().await;
+        let response = match self.carry_out(&call) {
+            Some(response) => response,
+            None => self.wait_for_end(&call).await,
+        };
+        let now_ms = self.platform.now_ms();
+        let loses_response = self.with_worker(|worker| worker.loses_responses(now_ms));
+        (!loses_response).then_some(response)
+    }
+
+    fn with_worker<R>(&self, read: impl FnOnce(&SimulatedWorker) -> R) -> R {
+        read(&self.platform.fleet().workers[self.worker_index])
+    }
+
+    fn is_partitioned(&self) -> bool {
+        let now_ms = self.platform.now_ms();
+        self.with_worker(|worker| now_ms < worker.partitioned_until_ms)
+    }
+
+    async fn wait_while_frozen(&self) {
+        while self.with_worker(|worker| worker.is_frozen(self.platform.now_ms())) {
+            task::sleep(STEP_INTERVAL).await;
         }
     }
 
@@ -94,8 +118,9 @@
     fn carry_out(&self, call: &WorkerCall) -> Option<WorkerResponse> {
         let now_ms = self.platform.now_ms();
         let mut fleet = self.platform.fleet();
-        let Fleet { workers, checker, .. } = &mut *fleet;
+        let Fleet { workers, checker, rng, .. } = &mut *fleet;
         let worker = &mut workers[self.worker_index];
+        worker.advance(now_ms, rng, checker);
         if *worker.id != *call.worker_id {
             return Some(WorkerResponse::WrongIncarnation);
         }
@@ -132,6 +157,9 @@
         if *worker.id != *call.worker_id {
             return Some(WorkerResponse::WrongIncarnation);
         }
+        if worker.is_frozen(now_ms) {
+            return None;
+        }
         let is_due = now_ms >= due_at_ms || worker.has_end_after(acknowledged_end);
         is_due.then(|| WorkerResponse::Report(worker.report(now_ms, acknowledged_end)))
     }
