--- a/crates/tools/cluster-testbed/src/clients.rs
+++ b/crates/tools/cluster-testbed/src/clients.rs
@@ -136,8 +136,7 @@
                 return self.count_succeeded();
             }
             if response.body.contains("failed") {
-                lock(&self.context.tally).failed += 1;
-                return;
+                return self.count_failed();
             }
             if response.body.contains("cancelled") {
                 return self.add_violation("LOST", "was never cancelled");
@@ -161,6 +160,13 @@
         tally.close_ms.push(self.elapsed_ms());
     }
 
+    fn count_failed(&self) {
+        if !self.context.platform.fleet().checker.has_job_failed(self.job) {
+            self.add_violation("LOST", "is shown as failed without cause");
+        }
+        lock(&self.context.tally).failed += 1;
+    }
+
     fn elapsed_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
--- a/crates/tools/cluster-testbed/src/safety_checker.rs
+++ b/crates/tools/cluster-testbed/src/safety_checker.rs
@@ -86,6 +86,8 @@
     acknowledged_at_ms: BTreeMap<TaskId, u64>,
     unacknowledged_successes: Vec<UnacknowledgedSuccess>,
     unacknowledged_failures: Vec<UnacknowledgedFailure>,
+    /// How many runs of a task have failed.
+    failed_runs: BTreeMap<TaskId, u32>,
     /// How many failed runs of a task were acknowledged.
     acknowledged_failures: BTreeMap<TaskId, u32>,
     last_start_ms: BTreeMap<TaskId, u64>,
@@ -207,6 +209,7 @@
                 self.unacknowledged_successes.push(success);
             }
             RunOutcome::Failed => {
+                *self.failed_runs.entry(task).or_default() += 1;
                 self.unacknowledged_failures.push(UnacknowledgedFailure { worker_id, number, task });
             }
             RunOutcome::Stopped | RunOutcome::LeaseExpired | RunOutcome::GangIncomplete => {}
@@ -259,6 +262,14 @@
         }
     }
 
+    /// Whether a task of a job has failed as often as its queue allows, so that the job may be shown
+    /// as failed.
+    #[must_use]
+    pub fn has_job_failed(&self, job: JobId) -> bool {
+        let mut runs = self.failed_runs.iter().filter(|(task, _)| task.job == job);
+        runs.any(|(_, failed)| *failed >= self.max_attempts)
+    }
+
     /// Whether all tasks of a job have succeeded; of a gang, any of its members.
     #[must_use]
     pub fn is_job_done(&self, job: JobId) -> bool {
--- a/crates/tools/cluster-testbed/src/soak/kept_client.rs
+++ b/crates/tools/cluster-testbed/src/soak/kept_client.rs
@@ -142,6 +142,9 @@
             }
             lock(&self.context.tally).succeeded += 1;
         } else if response.body.contains("failed") {
+            if !self.context.platform.fleet().checker.has_job_failed(id) {
+                add_violation(&self.context, id, "is shown as failed without cause");
+            }
             lock(&self.context.tally).failed += 1;
         } else if response.body.contains("cancelled") {
             add_violation(&self.context, id, "was never cancelled");
--- a/crates/tools/cluster-testbed/tests/violations.rs
+++ b/crates/tools/cluster-testbed/tests/violations.rs
@@ -40,6 +40,20 @@
     assert_eq!(checker.violations, [format!("TWICE: {TASK} run 2 after its end was noted")]);
 }
 
+/// A job may be shown as failed once a task has used all its attempts, and not before.
+#[test]
+fn job_has_failed_once_a_task_has_used_all_its_attempts() {
+    let mut checker = checker();
+    for number in 1..=3 {
+        assert!(!checker.has_job_failed(JOB), "only {} runs have failed", number - 1);
+        checker.record_start(10, "i-0-0", run(number));
+        let outcome = RunOutcome::Failed;
+        let end = RunEnd { worker_id: "i-0-0", number: u64::from(number), run: run(number), outcome };
+        checker.record_end(20, end);
+    }
+    assert!(checker.has_job_failed(JOB));
+}
+
 #[test]
 fn report_counts_faults_by_their_names() {
     let mut faults = Vec::new();
