--- a/crates/cluster/control-plane/src/node/data_planes.rs
+++ b/crates/cluster/control-plane/src/node/data_planes.rs
@@ -6,15 +6,20 @@
 use spanlead_cluster_runtime::frame::{ClientResponse, Directory, Frame};
 use spanlead_cluster_runtime::freshness::TOKEN_INTERVAL_MS;
 use spanlead_dissemination::{PEERS_PER_PROCESS, select_peers};
+use std::collections::BTreeSet;
 
-/// A data plane that is connected to this node.
+/// A connection of a data plane to this node.
 #[derive(Debug)]
 struct Subscriber {
     peer_address: String,
     frames: Sender<Frame>,
 }
 
-/// The data planes that are connected to this node, and the updates that were sent to them last.
+/// The connections of data planes to this node, and the updates that were sent to them last.
+///
+/// A data plane may have several connections for a while, and which of them it uses is not known:
+/// the first frame of a connection that it has given up may arrive after that of the next one.
+/// Each is therefore served until it closes.
 #[derive(Debug, Default)]
 pub(super) struct DataPlanes {
     subscribers: Vec<Subscriber>,
@@ -28,9 +33,8 @@
 }
 
 impl DataPlanes {
-    /// Adds a data plane. Its connection replaces an earlier one with the same peer address.
+    /// Adds a connection of a data plane.
     fn subscribe(&mut self, peer_address: String, frames: Sender<Frame>) {
-        self.subscribers.retain(|subscriber| subscriber.peer_address != peer_address);
         self.subscribers.push(Subscriber { peer_address, frames });
         self.gossip_peers_outdated = true;
     }
@@ -85,7 +89,7 @@
 
     fn send_gossip_peers(&mut self) {
         self.subscribers.retain(|subscriber| !subscriber.frames.is_closed());
-        let addresses: Vec<&str> =
+        let addresses: BTreeSet<&str> =
             self.subscribers.iter().map(|subscriber| subscriber.peer_address.as_str()).collect();
         for subscriber in &self.subscribers {
             let candidates = addresses.iter().copied();
--- a/crates/cluster/control-plane/tests/stale_requests.rs
+++ b/crates/cluster/control-plane/tests/stale_requests.rs
@@ -87,23 +87,49 @@
     }
 }
 
-#[async_std::test]
-async fn request_is_carried_out_only_with_a_token_that_has_not_expired() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
-    let port = TcpListener::bind((IP, 0)).expect("a free port").local_addr().expect("bound").port();
-    let _process = start_control_plane(folder.path(), IP, port);
+/// Connects to the program once it is primary.
+async fn connect_to_primary(address: &str) -> DataPlane {
     let deadline = Instant::now() + START_TIMEOUT;
-    let address = format!("{IP}:{port}");
-    let mut data_plane = loop {
+    loop {
         assert!(Instant::now() < deadline, "the program is not primary in time");
-        let mut data_plane = DataPlane::connect(address.clone());
+        let mut data_plane = DataPlane::connect(address.to_owned());
         if data_plane.next_frame(Duration::from_millis(500)).await.is_some()
             && data_plane.request(None).await.status == CARRIED_OUT
         {
-            break data_plane;
+            return data_plane;
         }
         task::sleep(Duration::from_millis(50)).await;
-    };
+    }
+}
+
+/// Guards against a data plane that gets no token, directory or configuration any more: the first
+/// frame of a connection that it had given up arrived after that of its present one, and displaced
+/// it.
+#[async_std::test]
+async fn connection_is_served_although_the_first_frame_of_another_one_arrives_later() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let port = TcpListener::bind((IP, 0)).expect("a free port").local_addr().expect("bound").port();
+    let _process = start_control_plane(folder.path(), IP, port);
+    let present = connect_to_primary(&format!("{IP}:{port}")).await;
+    present.next_token().await;
+
+    let given_up = DataPlane::connect(format!("{IP}:{port}"));
+    let last_of_both = given_up.next_token().await;
+    drop(given_up);
+
+    let until = Instant::now() + START_TIMEOUT;
+    let max_issued_at_ms = last_of_both.issued_at_ms + 2 * TOKEN_INTERVAL_MS;
+    while present.next_token().await.issued_at_ms <= max_issued_at_ms {
+        assert!(Instant::now() < until, "expected tokens as long as the connection is open");
+    }
+}
+
+#[async_std::test]
+async fn request_is_carried_out_only_with_a_token_that_has_not_expired() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let port = TcpListener::bind((IP, 0)).expect("a free port").local_addr().expect("bound").port();
+    let _process = start_control_plane(folder.path(), IP, port);
+    let mut data_plane = connect_to_primary(&format!("{IP}:{port}")).await;
 
     let first = data_plane.next_token().await;
     let token = data_plane.next_token().await;
