--- a/crates/tools/cluster-testbed/src/soak/plan.rs
+++ b/crates/tools/cluster-testbed/src/soak/plan.rs
@@ -95,7 +95,19 @@
 }
 
 impl Planner {
-    fn push(&mut self, at_ms: u64, action: Action) {
+    /// Adds an action. Faults of links, workers and control planes end with the middle third: after
+    /// it, cut connections and routes are judged again.
+    fn push(&mut self, at_ms: u64, mut action: Action) {
+        let remaining_ms = self.crashes_ms.end.saturating_sub(at_ms);
+        match &mut action {
+            Action::Freeze { machine, outage_ms } if self.control.contains(machine) => {
+                *outage_ms = (*outage_ms).min(remaining_ms);
+            }
+            Action::DisturbLinks { for_ms, .. }
+            | Action::FreezeWorker { for_ms, .. }
+            | Action::CutWorker { for_ms, .. } => *for_ms = (*for_ms).min(remaining_ms),
+            _ => {}
+        }
         self.actions.push(PlannedAction { at_ms, action });
     }
 
